--- /dev/null
+++ b/model/check.sh
@@ -0,0 +1,75 @@
+#!/usr/bin/env bash
+# Checks each specification exhaustively with spin, and that each mutation of
+# it is caught. Prints PASS or FAIL with the number of states.
+set -uo pipefail
+cd "$(dirname "$0")"
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+
+# Runs one variant: SPEC FLAGS. Prints "ERRORS STATES TRUNCATED".
+explore() {
+  local dir=$work/$1-${2//[^A-Za-z0-9_]/}
+  mkdir -p "$dir"
+  cp "$1.pml" "$dir"
+  (
+    cd "$dir" || exit
+    spin -a $2 "$1.pml" >spin.log 2>&1 &&
+      gcc -O2 -w -DSAFETY -DCOLLAPSE -DMEMLIM=4096 -o pan pan.c >gcc.log 2>&1 &&
+      timeout 240 ./pan -E -m2000000 >pan.log 2>&1 </dev/null
+    local errors states truncated
+    errors=$(grep -oP 'errors: \K[0-9]+' pan.log)
+    states=$(grep -oP '[0-9.e+]+(?= states, stored)' pan.log | head -1 | tr -d ' ')
+    truncated=$(grep -c 'max search depth too small\|pan: reached' pan.log)
+    echo "${errors:-x} ${states:-0} $truncated"
+  )
+}
+
+# A specification must hold over its whole state space.
+holds() {
+  read -r errors states truncated < <(explore "$1" "${2:-}")
+  if [ "$errors" = 0 ] && [ "$truncated" = 0 ]; then
+    echo "PASS model/$1${2:+/${2//-D/}}  (holds, $states states)"
+  else
+    echo "FAIL model/$1${2:+/${2//-D/}}  (errors $errors, truncated $truncated)"
+  fi
+}
+
+# A mutation must be caught.
+caught() {
+  read -r errors states _ < <(explore "$1" "-D$2${3:+ $3}")
+  if [ "$errors" != 0 ] && [ "$errors" != x ]; then
+    echo "PASS model/$1/$2  (caught, $states states)"
+  else
+    echo "FAIL model/$1/$2  (errors $errors: not caught)"
+  fi
+}
+
+# Runs one check in the background; its line is printed at the end, in order.
+checks=0
+check() {
+  checks=$((checks + 1))
+  "$@" >"$work/line.$(printf %03d $checks)" &
+}
+
+check holds election "-DMAXTERM=3 -DMAXLOG=2"
+check holds election "-DMAXTERM=4 -DMAXLOG=1"
+check caught election MUTATION_VOTE_NOT_DURABLE
+check caught election MUTATION_COMMIT_OLD_TERM "-DMAXTERM=4 -DMAXLOG=1"
+check holds voter_replacement
+check caught voter_replacement MUTATION_SAME_IDENTITY
+check holds orders
+check holds orders -DFENCED
+check caught orders MUTATION_NO_HOLD
+check caught orders MUTATION_SEND_BEFORE_WRITE
+wait
+check holds claims
+check caught claims MUTATION_ONE_IS_ENOUGH
+check caught claims MUTATION_RESTARTED_HOLDER_GRANTS
+check caught claims MUTATION_RELEASE_OF_ANY_ATTEMPT
+check holds config_lease
+check caught config_lease MUTATION_ACCEPT_WITHOUT_ENTRIES
+check caught config_lease MUTATION_NO_WAIT
+check caught config_lease MUTATION_BLANK_CONFIRMS
+wait
+cat "$work"/line.*
+! grep -q '^FAIL' "$work"/line.*
