Burn report, routing baselines, slopes; disk, stream and admission tests

Ruled out: deriving the service level from log lines (counters come first); resident memory as the measure of a slope (pages freed by one size serve the next, so the fit showed nothing; the allocator's own count is used).

Tests: every cut of the log's end, every flipped byte before it, the crash between the two renames of a compaction, splits and random bytes of event streams, fairness and progress of the queue.

--- a/control/placement.h
+++ b/control/placement.h
@@ -18,8 +18,6 @@
   // Requests per second that one replica should carry; more demand than that
   // adds replicas. Zero: demand adds none.
   double replica_rate = 8.0;
-  // A replica above the wanted count goes only when the memory is needed.
-  bool keep_spares = true;
 };
 
 // Why a model is in danger.
--- a/entry/request_coordinator.cc
+++ b/entry/request_coordinator.cc
@@ -24,6 +24,18 @@
 constexpr int kStatusServerError = 500;
 constexpr int kStatusUnavailable = 503;
 
+// Makes outside text safe inside a metric's label.
+auto Sanitize(std::string text) -> std::string {
+  constexpr auto kMaxLabelLength = std::size_t{64};
+  text.resize(std::min(text.size(), kMaxLabelLength));
+  for (auto& c : text) {
+    const auto is_plain = std::isalnum(static_cast<unsigned char>(c)) != 0 ||
+                          c == '-' || c == '_' || c == '.' || c == '/';
+    c = is_plain ? c : '_';
+  }
+  return text;
+}
+
 auto CeilSeconds(duration time) -> std::chrono::seconds {
   return std::chrono::ceil<std::chrono::seconds>(time);
 }
@@ -396,8 +408,7 @@
     claims_.FinishRan(active.request.key, result.outcome, now);
   }
   actions_.push_back(deliver_action{id, attempt});
-  count_("ebony_requests_answered_total{class=\"" +
-         std::string(GetPriorityText(active.priority)) + "\"}");
+  CountOutcome(active, true);
   Erase(id);
   RunQueue(now);
 }
@@ -476,11 +487,28 @@
   }
   actions_.push_back(
       refuse_action{id, kind, ran, message, GetRetryAfter(active, kind)});
+  if (kind != error_kind::invalid_request &&
+      kind != error_kind::duplicate_in_progress) {
+    CountOutcome(active, false);
+  }
   count_("ebony_requests_refused_total{code=\"" +
          std::string(GetErrorAnswer(kind).code) + "\"}");
   Erase(id);
 }
 
+// The service level counts what the system owes: refusals that are the
+// caller's own doing are left out.
+auto request_coordinator::CountOutcome(const active_request& active,
+                                       bool is_good) -> void {
+  const auto& request = active.request;
+  const auto target = request.service == service_name() ? request.model.get()
+                                                        : request.service.get();
+  count_("ebony_requests_total{model=\"" + Sanitize(target) + "\",class=\"" +
+         std::string(GetPriorityText(active.priority)) + "\",caller=\"" +
+         Sanitize(request.caller.get()) + "\",outcome=\"" +
+         (is_good ? "good" : "bad") + "\"}");
+}
+
 auto request_coordinator::Erase(request_id id) -> void {
   const auto found = active_.find(id);
   if (found == active_.end()) {
--- a/entry/request_coordinator.h
+++ b/entry/request_coordinator.h
@@ -180,6 +180,7 @@
               const std::string& message,
               mono_time now) -> void;
   auto Erase(request_id id) -> void;
+  auto CountOutcome(const active_request& active, bool is_good) -> void;
   auto GetRetryAfter(const active_request& active, error_kind kind)
       -> std::chrono::seconds;
 
--- a/main/entry_daemon.cc
+++ b/main/entry_daemon.cc
@@ -43,10 +43,28 @@
   return others;
 }
 
+// A name that is no policy is reported by CheckSettings.
+auto ParsePolicy(const std::string& name) -> routing_policy {
+  if (name == "least-outstanding") {
+    return routing_policy::least_outstanding;
+  }
+  return name == "round-robin" ? routing_policy::round_robin
+                               : routing_policy::expected_wait;
+}
+
 auto MakeRouterOptions(const schema::entry_settings& settings)
     -> router_options {
+  const auto uses = [&settings](const std::string& signal) -> bool {
+    return std::find(settings.routing_signals().begin(),
+                     settings.routing_signals().end(),
+                     signal) != settings.routing_signals().end();
+  };
   auto options = router_options();
   options.site = data_centre_name(settings.data_centre());
+  options.policy = ParsePolicy(settings.routing());
+  options.use_reports = uses("reports");
+  options.use_prefix_hints = uses("prefix");
+  options.use_distance = uses("distance");
   return options;
 }
 
@@ -116,6 +134,20 @@
   if (!is_listed) {
     faults.push_back("--entries: must list this VM, '" + settings.vm() + "'");
   }
+  const auto& policy = settings.routing();
+  if (policy != "expected-wait" && policy != "least-outstanding" &&
+      policy != "round-robin") {
+    faults.push_back("--routing: '" + policy +
+                     "' must be expected-wait, least-outstanding or "
+                     "round-robin");
+  }
+  for (const auto& signal : settings.routing_signals()) {
+    if (signal != "reports" && signal != "prefix" && signal != "distance" &&
+        signal != "none") {
+      faults.push_back("--routing-signals: '" + signal +
+                       "' must be reports, prefix, distance or none");
+    }
+  }
   if (settings.key_lifetime_ms() < settings.max_timeout_ms()) {
     faults.emplace_back("--key-lifetime-ms: must be at least --max-timeout-ms");
   }
--- /dev/null
+++ b/tests/tools_test.cc
@@ -0,0 +1,302 @@
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+#include "drivers/disk_store.h"
+#include "entry/admission_queue.h"
+#include "entry/sse_reader.h"
+#include "tests/test_support.h"
+#include "tools/burn_report.h"
+
+#include <filesystem>
+#include <fstream>
+
+#include "core/error_kind.h"
+
+namespace ebony::testing {
+
+namespace {
+
+auto MakeEvent(std::uint64_t id, const std::string& data) -> sse_event {
+  auto event = sse_event();
+  event.id = id;
+  event.data = data;
+  return event;
+}
+
+// A folder that goes with the test.
+class scratch_folder {
+  std::filesystem::path path_;
+
+ public:
+  scratch_folder() {
+    auto pattern =
+        (std::filesystem::temp_directory_path() / "ebony-XXXXXX").string();
+    path_ = ::mkdtemp(pattern.data());
+  }
+  ~scratch_folder() { std::filesystem::remove_all(path_); }
+  scratch_folder(const scratch_folder&) = delete;
+  auto operator=(const scratch_folder&) -> scratch_folder& = delete;
+
+  auto GetFile(const std::string& name) const -> std::string {
+    return (path_ / name).string();
+  }
+  auto get_path() const -> std::string { return path_.string(); }
+};
+
+auto MakeEntry(std::uint64_t index) -> log_entry {
+  auto entry = log_entry();
+  entry.term = term_number(1);
+  entry.index = log_index(index);
+  entry.payload = "payload " + std::to_string(index);
+  return entry;
+}
+
+// Writes three entries, each durable by itself.
+auto WriteLog(const std::string& folder) -> disk_identity {
+  const auto identity =
+      disk_identity{node_id("c1.first"), {{node_id("c1.first")}, {}}};
+  auto store = disk_store(folder);
+  store.Create(identity);
+  store.Load(identity);
+  for (auto index = std::uint64_t{1}; index <= 3; ++index) {
+    auto ready = raft_ready();
+    ready.hard = hard_state{term_number(1), node_id("c1.first")};
+    ready.append = {MakeEntry(index)};
+    store.Persist(ready);
+  }
+  return identity;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(disk_store_test)
+
+BOOST_AUTO_TEST_CASE(every_cut_of_the_log_end_keeps_what_was_whole) {
+  const auto whole = scratch_folder();
+  const auto identity = WriteLog(whole.get_path());
+  const auto size = std::filesystem::file_size(whole.GetFile("log"));
+  const auto frame = size / 3;
+  for (auto length = std::uintmax_t{0}; length <= size; ++length) {
+    const auto folder = scratch_folder();
+    std::filesystem::copy(whole.get_path(), folder.get_path(),
+                          std::filesystem::copy_options::recursive);
+    std::filesystem::resize_file(folder.GetFile("log"), length);
+    auto store = disk_store(folder.get_path());
+    const auto image = store.Load(identity);
+    BOOST_REQUIRE_EQUAL(image.entries.size(), length / frame);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(damage_before_the_end_stops_the_start) {
+  const auto whole = scratch_folder();
+  const auto identity = WriteLog(whole.get_path());
+  const auto size = std::filesystem::file_size(whole.GetFile("log"));
+  for (auto at = std::uintmax_t{0}; at < size / 3 * 2; ++at) {
+    const auto folder = scratch_folder();
+    std::filesystem::copy(whole.get_path(), folder.get_path(),
+                          std::filesystem::copy_options::recursive);
+    {
+      auto file = std::fstream(folder.GetFile("log"),
+                               std::ios::in | std::ios::out | std::ios::binary);
+      file.seekg(static_cast<std::streamoff>(at));
+      const auto byte = static_cast<char>(file.get() ^ 0x40);
+      file.seekp(static_cast<std::streamoff>(at));
+      file.put(byte);
+    }
+    auto store = disk_store(folder.get_path());
+    BOOST_REQUIRE_THROW(store.Load(identity), ebony_error);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_snapshot_newer_than_the_log_drops_what_it_covers) {
+  const auto folder = scratch_folder();
+  const auto identity = WriteLog(folder.get_path());
+  const auto log = folder.GetFile("log");
+  const auto kept = folder.GetFile("kept");
+  std::filesystem::copy(log, kept);
+  {
+    auto store = disk_store(folder.get_path());
+    store.Load(identity);
+    auto snap = snapshot();
+    snap.index = log_index(2);
+    snap.term = term_number(1);
+    snap.group = identity.group;
+    snap.state = "state";
+    store.Compact(snap, {MakeEntry(3)});
+  }
+  // The crash came between the two renames.
+  std::filesystem::rename(kept, log);
+  auto store = disk_store(folder.get_path());
+  const auto image = store.Load(identity);
+  BOOST_TEST(image.base.index.get() == 2U);
+  BOOST_REQUIRE_EQUAL(image.entries.size(), 1U);
+  BOOST_TEST(image.entries[0].index.get() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(an_identity_is_created_once) {
+  const auto folder = scratch_folder();
+  const auto identity = WriteLog(folder.get_path());
+  auto store = disk_store(folder.get_path());
+  BOOST_CHECK_THROW(store.Create(identity), ebony_error);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(sse_test)
+
+BOOST_AUTO_TEST_CASE(any_split_of_the_bytes_gives_the_same_events) {
+  const auto text = std::string(
+      "id: 1\ndata: one\n\nid: 2\ndata: two\ndata: more\n\n"
+      ": comment\n\ndata: [DONE]\r\n\r\nid: 9\ndata: cut");
+  for (auto cut = std::size_t{0}; cut <= text.size(); ++cut) {
+    auto events = std::vector<sse_event>();
+    const auto keep = [&events](const sse_event& event) {
+      events.push_back(event);
+    };
+    auto reader = sse_reader();
+    reader.Feed(text.substr(0, cut), keep);
+    reader.Feed(text.substr(cut), keep);
+    BOOST_REQUIRE_EQUAL(events.size(), 4U);
+    BOOST_REQUIRE_EQUAL(events[0].id, 1U);
+    BOOST_REQUIRE_EQUAL(events[1].data, "two\nmore");
+    BOOST_REQUIRE_EQUAL(events[3].data, "[DONE]");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(random_bytes_do_no_harm) {
+  auto random = std::mt19937_64(7);
+  const auto alphabet = std::string("data:id \n\r[DONE]\0x", 18);
+  for (auto round = 0; round < 2000; ++round) {
+    auto reader = sse_reader();
+    auto text = std::string();
+    auto shown = std::string();
+    for (auto i = 0; i < 200; ++i) {
+      text.push_back(alphabet[random() % alphabet.size()]);
+    }
+    reader.Feed(text, [&shown](const sse_event& event) { shown += event.raw; });
+    // What is shown is a prefix of what came.
+    BOOST_REQUIRE(text.rfind(shown, 0) == 0);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_replay_shows_each_event_once) {
+  auto splice = stream_splice();
+  splice.StartAttempt(0);
+  BOOST_TEST(splice.Accept(MakeEvent(1, "a")));
+  BOOST_TEST(splice.Accept(MakeEvent(2, "b")));
+  splice.StartAttempt(0);
+  BOOST_TEST(!splice.Accept(MakeEvent(1, "a")));
+  BOOST_TEST(!splice.Accept(MakeEvent(2, "b")));
+  BOOST_TEST(splice.Accept(MakeEvent(3, "[DONE]")));
+  BOOST_TEST(splice.is_done());
+  BOOST_TEST(!splice.is_contradicted());
+}
+
+BOOST_AUTO_TEST_CASE(a_replay_that_differs_is_a_contradiction) {
+  auto splice = stream_splice();
+  splice.StartAttempt(0);
+  splice.Accept(MakeEvent(1, "a"));
+  splice.StartAttempt(0);
+  splice.Accept(MakeEvent(1, "other"));
+  BOOST_TEST(splice.is_contradicted());
+  BOOST_TEST(!splice.Accept(MakeEvent(2, "b")));
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_attempt_goes_on_behind_what_was_shown) {
+  auto splice = stream_splice();
+  splice.StartAttempt(0);
+  splice.Accept(MakeEvent(1, "a"));
+  splice.StartAttempt(1);
+  BOOST_TEST(splice.Accept(MakeEvent(2, "b")));
+  auto skipped = stream_splice();
+  skipped.StartAttempt(3);
+  BOOST_TEST(skipped.is_contradicted());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(admission_test)
+
+BOOST_AUTO_TEST_CASE(a_burst_of_one_caller_does_not_starve_another) {
+  auto queue = admission_queue(100);
+  auto dropped = std::optional<waiting_request>();
+  for (auto i = std::uint64_t{1}; i <= 50; ++i) {
+    queue.Add({request_id(i), caller_name("burst"), priority_class::interactive,
+               At(1000)},
+              dropped);
+  }
+  queue.Add({request_id(99), caller_name("other"), priority_class::interactive,
+             At(1000)},
+            dropped);
+  const auto any = [](const waiting_request&) { return true; };
+  const auto first = queue.Pick(any);
+  const auto second = queue.Pick(any);
+  BOOST_TEST((first->id == request_id(99) || second->id == request_id(99)));
+}
+
+BOOST_AUTO_TEST_CASE(urgent_goes_first_and_batch_still_progresses) {
+  auto queue = admission_queue(1000);
+  auto dropped = std::optional<waiting_request>();
+  for (auto i = std::uint64_t{1}; i <= 100; ++i) {
+    queue.Add(
+        {request_id(i), caller_name("a"), priority_class::urgent, At(1000)},
+        dropped);
+    queue.Add({request_id(1000 + i), caller_name("b"), priority_class::batch,
+               At(1000)},
+              dropped);
+  }
+  auto batch = 0;
+  for (auto i = 0; i < 80; ++i) {
+    const auto picked = queue.Pick([](const waiting_request&) { return true; });
+    batch += picked->priority == priority_class::batch ? 1 : 0;
+  }
+  BOOST_TEST(batch == 10);
+}
+
+BOOST_AUTO_TEST_CASE(a_full_queue_drops_a_lower_class_for_a_higher_one) {
+  auto queue = admission_queue(1);
+  auto dropped = std::optional<waiting_request>();
+  queue.Add({request_id(1), caller_name("a"), priority_class::batch, At(1)},
+            dropped);
+  BOOST_TEST(!queue.Add(
+      {request_id(2), caller_name("a"), priority_class::batch, At(1)},
+      dropped));
+  BOOST_TEST(!dropped.has_value());
+  BOOST_TEST(queue.Add(
+      {request_id(3), caller_name("a"), priority_class::urgent, At(1)},
+      dropped));
+  BOOST_TEST(dropped->id.get() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(burn_test)
+
+BOOST_AUTO_TEST_CASE(burn_and_budget_follow_from_the_counters) {
+  auto long_ago = burn_counts();
+  auto shortly_ago = burn_counts();
+  auto now = burn_counts();
+  const auto page = [](int good, int bad) -> std::string {
+    const auto labels = std::string(
+        "ebony_requests_total{model=\"m\",class=\"urgent\",caller=\"c\","
+        "outcome=\"");
+    return labels + "good\"} " + std::to_string(good) + "\n" + labels +
+           "bad\"} " + std::to_string(bad) + "\n";
+  };
+  AddMetricsPage(page(1000, 0), long_ago);
+  AddMetricsPage(page(1800, 100), shortly_ago);
+  AddMetricsPage(page(1900, 150), now);
+  const auto rows = MakeBurnRows(long_ago, shortly_ago, now, 0.99);
+  BOOST_REQUIRE_EQUAL(rows.size(), 1U);
+  BOOST_TEST(rows[0].short_burn == 100.0 / 3,
+             boost::test_tools::tolerance(0.001));
+  BOOST_TEST(rows[0].long_burn == 100.0 / 7,
+             boost::test_tools::tolerance(0.001));
+  // 14.3 over the long window is a ticket, not yet a page.
+  BOOST_TEST(rows[0].alert == "ticket");
+  BOOST_TEST(rows[0].budget_left < 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace ebony::testing
--- a/tools/ebony_bench.cc
+++ b/tools/ebony_bench.cc
@@ -1,3 +1,357 @@
+// ebony_bench: measures how the cost of the decisions grows with the size of
+// the fleet, fits a line to each, and works out docs/CAPACITY.md's figures from
+// it.
+
+#include <malloc.h>
+
+#include <chrono>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <iostream>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "codec/control_codec.h"
+#include "codec/entry_codec.h"
+#include "codec/link_codec.h"
+#include "codec/record_codec.h"
+#include "control/placement.h"
+#include "entry/claim_table.h"
+#include "entry/request_coordinator.h"
+
+namespace ebony {
+
+namespace {
+
+// The fleet of the letter.
+constexpr double kServers = 5500;
+constexpr double kModels = 1300;
+constexpr double kEntryDaemons = 403;
+constexpr double kRequestsPerSecond = 20000;
+constexpr double kChangesPerDay = 5200;
+constexpr double kSecondsPerDay = 86400;
+constexpr std::size_t kReplicasPerServer = 4;
+constexpr std::uint64_t kAcceleratorMib = 80000;
+constexpr int kRepeats = 5;
+
+// A straight line through measured points, with its error.
+struct fitted_line {
+  double base = 0;
+  double slope = 0;
+  double error = 0;  // root mean square of the residuals
+};
+
+struct sample {
+  double size = 0;
+  double value = 0;
+};
+
+auto Fit(const std::vector<sample>& samples) -> fitted_line {
+  auto n = static_cast<double>(samples.size());
+  auto sx = 0.0;
+  auto sy = 0.0;
+  auto sxx = 0.0;
+  auto sxy = 0.0;
+  for (const auto& item : samples) {
+    sx += item.size;
+    sy += item.value;
+    sxx += item.size * item.size;
+    sxy += item.size * item.value;
+  }
+  auto line = fitted_line();
+  line.slope = (n * sxy - sx * sy) / (n * sxx - sx * sx);
+  line.base = (sy - line.slope * sx) / n;
+  auto squares = 0.0;
+  for (const auto& item : samples) {
+    const auto residual = item.value - line.base - line.slope * item.size;
+    squares += residual * residual;
+  }
+  line.error = std::sqrt(squares / n);
+  return line;
+}
+
+// Returns the best of several runs of `body`, in microseconds per call.
+auto MeasureUs(int calls, const std::function<void()>& body) -> double {
+  auto best = 1e18;
+  for (auto repeat = 0; repeat < kRepeats; ++repeat) {
+    const auto begin = std::chrono::steady_clock::now();
+    for (auto i = 0; i < calls; ++i) {
+      body();
+    }
+    const auto took = std::chrono::duration<double, std::micro>(
+                          std::chrono::steady_clock::now() - begin)
+                          .count();
+    best = std::min(best, took / calls);
+  }
+  return best;
+}
+
+// Bytes that the allocator has handed out, in MiB.
+auto GetUsedMib() -> double {
+  return static_cast<double>(::mallinfo2().uordblks) / (1 << 20);
+}
+
+auto MakeModelName(std::size_t i) -> model_name {
+  return model_name("model-" + std::to_string(i));
+}
+
+auto MakeFleet(std::size_t servers, std::size_t models) -> control_data {
+  auto data = control_data();
+  auto record = record_entry();
+  record.accepted.name = record_name("fleet");
+  record.accepted.revision = revision_number(1);
+  for (auto i = std::size_t{0}; i < models; ++i) {
+    auto spec = model_spec();
+    spec.key = {MakeModelName(i), version_name("1")};
+    spec.weights = mebibytes(15000);
+    spec.min_replicas = 2;
+    record.accepted.models.push_back(spec);
+  }
+  record.effective = record.accepted;
+  record.has_effective = true;
+  record.changed = config_version(1);
+  data.records.emplace(record.accepted.name, record);
+  for (auto i = std::size_t{0}; i < servers; ++i) {
+    auto entry = backend_entry();
+    entry.info.name = backend_name("server-" + std::to_string(i));
+    entry.info.address = host_port("10.0.0.1:8000");
+    entry.info.data_centre = data_centre_name("dc" + std::to_string(i % 10));
+    entry.info.run = incarnation(1);
+    entry.info.slots = 32;
+    entry.changed = config_version(2 + i);
+    for (auto a = std::size_t{0}; a < kReplicasPerServer; ++a) {
+      const auto model = (i * kReplicasPerServer + a) % models;
+      const auto item = resident{
+          {MakeModelName(model), version_name("1")}, mebibytes(15000), {}};
+      entry.info.accelerators.push_back(
+          {mebibytes(kAcceleratorMib), {item}, order_id(1)});
+      entry.accelerators.emplace_back(mebibytes(kAcceleratorMib),
+                                      std::vector<resident>{item});
+    }
+    data.backends.emplace(entry.info.name, std::move(entry));
+  }
+  data.version = config_version(servers + 2);
+  return data;
+}
+
+auto MakeTable(const control_data& data) -> routing_table {
+  auto update = schema::entry_update();
+  FillUpdate(data, config_version(), update);
+  auto table = routing_table();
+  table.Apply(ToDomain(update));
+  return table;
+}
+
+auto Print(const std::string& name,
+           const std::string& unit,
+           const std::vector<sample>& samples,
+           double target) -> double {
+  const auto line = Fit(samples);
+  std::printf("%-34s", name.c_str());
+  for (const auto& item : samples) {
+    std::printf("  %6.0f: %10.3f", item.size, item.value);
+  }
+  const auto at_target = line.base + line.slope * target;
+  std::printf("  | %.4f + %.6f x, error %.4f | at %.0f: %.2f %s\n", line.base,
+              line.slope, line.error, target, at_target, unit.c_str());
+  return at_target;
+}
+
+auto Range(std::size_t bound) -> router::random_source {
+  auto engine = std::make_shared<std::mt19937_64>(bound);
+  return [engine](std::uint64_t limit) { return (*engine)() % limit; };
+}
+
+// One request from its arrival to its delivery, all decisions included.
+auto MeasureRequestUs(std::size_t servers, std::size_t models) -> double {
+  const auto data = MakeFleet(servers, models);
+  const auto table = MakeTable(data);
+  auto choice = router({}, Range(1));
+  auto book = claim_book({}, vm_name("e"), incarnation(1), {});
+  auto coordinator = request_coordinator({}, table, choice, book, Range(2),
+                                         [](const std::string&) {});
+  auto random = std::mt19937_64(3);
+  auto number = std::uint64_t{0};
+  auto now = mono_time(std::chrono::seconds(1000));
+  return MeasureUs(5000, [&] {
+    auto request = caller_request();
+    request.id = request_id(++number);
+    request.model = MakeModelName(random() % models);
+    request.prefix_hash = random() % 1000 + 1;
+    request.deadline = now + std::chrono::seconds(1);
+    coordinator.Arrive(request, now);
+    auto result = attempt_result();
+    result.end = attempt_end::whole;
+    result.status = 200;
+    coordinator.OnAttemptEnd(request.id, attempt_number(1), result, now);
+    coordinator.TakeActions();
+    now += std::chrono::microseconds(50);
+  });
+}
+
+auto MeasureFleetSlopes() -> void {
+  const auto sizes = std::vector<std::size_t>{15, 500, 1500, 5500};
+  auto request = std::vector<sample>();
+  auto plan = std::vector<sample>();
+  auto full_update = std::vector<sample>();
+  auto delta = std::vector<sample>();
+  auto apply = std::vector<sample>();
+  auto snapshot_kib = std::vector<sample>();
+  auto snapshot_ms = std::vector<sample>();
+  auto update_kib = std::vector<sample>();
+  auto state_mib = std::vector<sample>();
+  auto table_mib = std::vector<sample>();
+  for (const auto servers : sizes) {
+    const auto x = static_cast<double>(servers);
+    const auto models = std::max<std::size_t>(
+        15, static_cast<std::size_t>(kModels * x / kServers));
+    auto before = GetUsedMib();
+    const auto data = MakeFleet(servers, models);
+    state_mib.push_back({x, GetUsedMib() - before});
+    before = GetUsedMib();
+    const auto table = MakeTable(data);
+    table_mib.push_back({x, GetUsedMib() - before});
+    request.push_back({x, MeasureRequestUs(servers, models)});
+    const auto planner = placement({});
+    plan.push_back(
+        {x, MeasureUs(1, [&] { planner.Plan(data, {}, 10); }) / 1000});
+    auto update = schema::entry_update();
+    full_update.push_back({x, MeasureUs(1, [&] {
+                                update.Clear();
+                                FillUpdate(data, config_version(), update);
+                              }) / 1000});
+    update_kib.push_back(
+        {x, static_cast<double>(update.ByteSizeLong()) / 1024});
+    auto one = schema::entry_update();
+    delta.push_back({x, MeasureUs(10, [&] {
+                       one.Clear();
+                       FillUpdate(data, config_version(servers), one);
+                     })});
+    const auto rows = ToDomain(update);
+    apply.push_back({x, MeasureUs(1, [&] {
+                          auto fresh = routing_table();
+                          fresh.Apply(rows);
+                        }) / 1000});
+    auto bytes = std::string();
+    snapshot_ms.push_back(
+        {x, MeasureUs(1, [&] { bytes = EncodeState(data); }) / 1000});
+    snapshot_kib.push_back({x, static_cast<double>(bytes.size()) / 1024});
+  }
+  std::printf("\nper server (each with %zu accelerators)\n",
+              kReplicasPerServer);
+  Print("request decision, us", "us", request, kServers);
+  Print("placement round, ms", "ms", plan, kServers);
+  Print("full update, fill, ms", "ms", full_update, kServers);
+  Print("full update, size, KiB", "KiB", update_kib, kServers);
+  Print("update of one change, fill, us", "us", delta, kServers);
+  Print("table rebuild at an entry, ms", "ms", apply, kServers);
+  Print("snapshot, encode, ms", "ms", snapshot_ms, kServers);
+  Print("snapshot, size, KiB", "KiB", snapshot_kib, kServers);
+  Print("control state, memory, MiB", "MiB", state_mib, kServers);
+  Print("routing table, memory, MiB", "MiB", table_mib, kServers);
+}
+
+auto MeasureCandidateSlopes() -> void {
+  constexpr auto kFleet = std::size_t{1500};
+  auto request = std::vector<sample>();
+  for (const auto models : {1300U, 400U, 100U, 40U, 15U}) {
+    const auto candidates =
+        static_cast<double>(kFleet * kReplicasPerServer) / models;
+    request.push_back({candidates, MeasureRequestUs(kFleet, models)});
+  }
+  std::printf("\nper backend server that holds the model\n");
+  Print("request decision, us", "us", request,
+        kServers * kReplicasPerServer / kModels);
+}
+
+auto MeasureClaimSlopes() -> void {
+  auto cost = std::vector<sample>();
+  auto memory = std::vector<sample>();
+  for (const auto claims : {1000U, 20000U, 60000U, 180000U}) {
+    const auto before = GetUsedMib();
+    auto table = claim_table({}, mono_time());
+    const auto now = mono_time(std::chrono::seconds(1000));
+    for (auto i = 0U; i < claims; ++i) {
+      table.Ask(request_key("caller\nkey-" + std::to_string(i)),
+                {vm_name("e1"), incarnation(1), 1}, i, now);
+    }
+    memory.push_back({static_cast<double>(claims), GetUsedMib() - before});
+    auto number = 0U;
+    cost.push_back({static_cast<double>(claims), MeasureUs(1000, [&] {
+                      table.Ask(request_key("caller\nkey-" +
+                                            std::to_string(number++ % claims)),
+                                {vm_name("e2"), incarnation(1), 1}, 0, now);
+                    })});
+  }
+  std::printf("\nper claim held\n");
+  Print("claim, us", "us", cost, 180000);
+  Print("claims, memory, MiB", "MiB", memory, 180000);
+}
+
+auto MeasureMessages() -> void {
+  auto poll = schema::link_frame();
+  poll.set_from("e123");
+  poll.mutable_poll()->set_vm("e123");
+  poll.mutable_poll()->set_incarnation(1ULL << 50);
+  poll.mutable_poll()->set_sequence(1000000);
+  poll.mutable_poll()->set_have_version(5000000);
+  poll.mutable_poll()->set_schema_version(2);
+  auto update = schema::link_frame();
+  update.set_from("c1");
+  update.mutable_update()->set_sequence(1000000);
+  update.mutable_update()->set_entry_incarnation(1ULL << 50);
+  update.mutable_update()->set_leader("c1");
+  update.mutable_update()->set_from_version(5000000);
+  update.mutable_update()->set_to_version(5000000);
+  update.mutable_update()->set_lease_ms(1500);
+  update.mutable_update()->set_term(12);
+  auto data = MakeFleet(1, 15);
+  auto row = schema::entry_update();
+  FillUpdate(data, config_version(1), row);
+  const auto change = static_cast<double>(row.ByteSizeLong());
+  const auto poll_bytes = static_cast<double>(poll.ByteSizeLong());
+  const auto update_bytes = static_cast<double>(update.ByteSizeLong());
+  auto gossip = schema::link_frame();
+  gossip.set_from("e123");
+  gossip.mutable_gossip()->set_vm("e123");
+  gossip.mutable_gossip()->set_in_flight(50);
+  for (auto i = 0; i < 16; ++i) {
+    auto* load = gossip.mutable_gossip()->add_loads();
+    load->set_backend("server-1234");
+    load->set_incarnation(1ULL << 50);
+    load->set_sequence(100000);
+    load->set_running(20);
+    load->set_queued(5);
+  }
+  const auto gossip_bytes = static_cast<double>(gossip.ByteSizeLong());
+  const auto changes = kChangesPerDay / kSecondsPerDay;
+  std::printf(
+      "\nmessages: poll %.0f B, its answer %.0f B, one changed server %.0f B, "
+      "gossip with 16 loads %.0f B\n",
+      poll_bytes, update_bytes, change, gossip_bytes);
+  std::printf(
+      "one entry: 5 polls a second %.2f KiB/s, gossip to 6 peers twice a "
+      "second %.2f KiB/s, changes %.3f KiB/s\n",
+      5 * (poll_bytes + update_bytes) / 1024, 2 * 6 * gossip_bytes / 1024,
+      changes * change / 1024);
+  std::printf("leader with %.0f entries polling directly: %.0f KiB/s\n",
+              kEntryDaemons,
+              kEntryDaemons * 5 * (poll_bytes + update_bytes) / 1024);
+  std::printf("requests for one entry: %.1f a second\n",
+              kRequestsPerSecond / kEntryDaemons);
+}
+
+}  // namespace
+
+}  // namespace ebony
+
 auto main() -> int {
+  std::printf("slopes: size: value ... | base + slope x, error | at target\n");
+  ebony::MeasureFleetSlopes();
+  ebony::MeasureCandidateSlopes();
+  ebony::MeasureClaimSlopes();
+  ebony::MeasureMessages();
   return 0;
 }
--- a/tools/load_run.cc
+++ b/tools/load_run.cc
@@ -161,7 +161,7 @@
   if (dice < 20) {
     call->kind = "urgent";
     call->urgency = "u=0";
-    call->limit = limit / 4;
+    call->limit = limit / 2;
   } else if (dice < 75) {
     call->kind = "interactive";
     call->urgency = "u=3";
