--- a/tests/config_fault_matrix_test.cc
+++ b/tests/config_fault_matrix_test.cc
@@ -40,20 +40,23 @@
   voters_dead,
   entry_without_control,
   entry_cut_off,
+  three_without_control,
+  pair_isolated,
 };
 
-const auto kFaults = std::vector<config_fault>{
-    config_fault::message_lost,
-    config_fault::message_late,
-    config_fault::message_very_late,
-    config_fault::message_repeated,
-    config_fault::entry_restarts,
-    config_fault::two_entries_restart,
-    config_fault::new_leader,
-    config_fault::voters_dead,
-    config_fault::entry_without_control,
-    config_fault::entry_cut_off,
-};
+const auto kFaults =
+    std::vector<config_fault>{config_fault::message_lost,
+                              config_fault::message_late,
+                              config_fault::message_very_late,
+                              config_fault::message_repeated,
+                              config_fault::entry_restarts,
+                              config_fault::two_entries_restart,
+                              config_fault::new_leader,
+                              config_fault::voters_dead,
+                              config_fault::entry_without_control,
+                              config_fault::entry_cut_off,
+                              config_fault::three_without_control,
+                              config_fault::pair_isolated};
 
 [[noreturn]] auto Breach(const std::string& what) -> void {
   throw std::logic_error(what);
@@ -83,6 +86,7 @@
     mono_time next_ask;
     mono_time no_control_until;
     mono_time cut_until;
+    mono_time island_until;  // reaches only others on the island
   };
   struct open_change {
     config_version version;
@@ -133,7 +137,14 @@
     item.lease = std::make_unique<config_lease>(GetName(index), kEntries);
   }
 
+  auto IsOnIsland(std::size_t end) const -> bool {
+    return end < kEntries && now_ < entries_[end].island_until;
+  }
+
   auto IsCut(const flight& item) const -> bool {
+    if (IsOnIsland(item.from) != IsOnIsland(item.to)) {
+      return true;
+    }
     const auto is_control =
         item.kind == flight_kind::poll || item.kind == flight_kind::update;
     for (const auto end : {item.from, item.to}) {
@@ -184,6 +195,15 @@
       case config_fault::entry_cut_off:
         entries_[near].cut_until = now_ + kOutage;
         break;
+      case config_fault::three_without_control:
+        for (auto i = std::size_t{0}; i < 3; ++i) {
+          entries_[(near + i) % kEntries].no_control_until = now_ + kOutage;
+        }
+        break;
+      case config_fault::pair_isolated:
+        entries_[near].island_until = now_ + kOutage;
+        entries_[(near + 1) % kEntries].island_until = now_ + kOutage;
+        break;
       case config_fault::none:
         break;
     }
@@ -347,6 +367,15 @@
     StartLeader();
   }
   auto RestartEntry(std::size_t index) -> void { Restart(index); }
+  auto CutFromControl(std::size_t index) -> void {
+    entries_[index].no_control_until = mono_time::max();
+  }
+  auto CutOff(std::size_t index) -> void {
+    entries_[index].cut_until = mono_time::max();
+  }
+  auto Isolate(std::size_t index) -> void {
+    entries_[index].island_until = mono_time::max();
+  }
   auto get_in_force() const -> config_version { return in_force_; }
 };
 
@@ -404,6 +433,50 @@
   BOOST_TEST(world.CountCurrent() == kEntries - 1);
 }
 
+// In the next three the world itself checks that no entry acts on a
+// configuration older than one in force.
+
+BOOST_AUTO_TEST_CASE(a_change_that_most_entries_lack_is_not_in_force) {
+  auto world = config_world();
+  world.Run(milliseconds(3000));
+  for (auto index = std::size_t{0}; index < 3; ++index) {
+    world.CutFromControl(index);
+  }
+  world.Run(milliseconds(200));
+  const auto before = world.get_in_force();
+  world.Run(milliseconds(6000));
+  BOOST_TEST(world.get_in_force().get() <= before.get() + 1);
+  BOOST_TEST(world.CountCurrent() == kEntries);
+}
+
+BOOST_AUTO_TEST_CASE(a_minority_on_an_island_stops) {
+  auto world = config_world();
+  world.Run(milliseconds(3000));
+  world.Isolate(0);
+  world.Isolate(1);
+  world.Run(milliseconds(6000));
+  BOOST_TEST(world.CountCurrent() == kEntries - 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_majority_that_forgot_confirms_nothing) {
+  auto world = config_world();
+  world.Run(milliseconds(3000));
+  world.CutFromControl(0);
+  world.CutFromControl(1);
+  // Entries 2 to 4 take further changes; 0 and 1 learn them from these.
+  world.Run(milliseconds(1000));
+  world.Isolate(0);
+  world.Isolate(1);
+  world.Isolate(3);
+  world.Isolate(4);
+  world.Run(milliseconds(100));
+  world.RestartEntry(3);
+  world.RestartEntry(4);
+  world.KillVoters();
+  world.Run(milliseconds(6000));
+  BOOST_TEST(world.CountCurrent() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
--- a/tests/control_state_test.cc
+++ b/tests/control_state_test.cc
@@ -175,10 +175,12 @@
   state.ApplyCommand(put_backend_command{MakeBackend("b", 1, {100})},
                      config_version(1));
   Issue(state, 2, {MakeResident("m", 60)});
-  state.ApplyCommand(
-      resolve_order_command{order_id(1), backend_name("b"),
-                            accelerator_index(0), {MakeResident("m", 60)}, 7},
-      config_version(3));
+  state.ApplyCommand(resolve_order_command{order_id(1),
+                                           backend_name("b"),
+                                           accelerator_index(0),
+                                           {MakeResident("m", 60)},
+                                           7},
+                     config_version(3));
   // It left the engine before the load was done, and comes to a new leader.
   auto dispatcher = order_dispatcher({}, At(0));
   auto report = MakeBackend("b", 1, {100});
--- a/tests/coordinator_test.cc
+++ b/tests/coordinator_test.cc
@@ -83,6 +83,40 @@
   BOOST_TEST(entry.counters.count("ebony_retries_total") == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_slow_stream_is_ended_at_the_time_limit) {
+  auto entry = lone_entry(MakeModel("m", 1));
+  const auto id = entry.Arrive("c", At(0), milliseconds(500));
+  for (auto ms = 100; ms < 500; ms += 100) {
+    entry.coordinator.OnProgress(id, attempt_number(1),
+                                 static_cast<std::uint64_t>(ms), At(ms));
+    entry.coordinator.Tick(At(ms));
+  }
+  BOOST_TEST(entry.Take<refuse_action>().empty());
+  entry.coordinator.Tick(At(500));
+  const auto actions = entry.coordinator.TakeActions();
+  BOOST_REQUIRE_EQUAL(actions.size(), 2U);
+  BOOST_TEST(std::holds_alternative<cancel_action>(actions[0]));
+  const auto& refusal = std::get<refuse_action>(actions[1]);
+  BOOST_TEST((refusal.kind == error_kind::deadline_exceeded));
+  BOOST_TEST((refusal.ran == ran_state::yes));
+}
+
+BOOST_AUTO_TEST_CASE(the_answer_of_an_earlier_attempt_does_not_count) {
+  auto entry = lone_entry(MakeModel("m", 1));
+  const auto id = entry.Arrive("c", At(0), milliseconds(5000));
+  auto refused = attempt_result();
+  refused.end = attempt_end::not_sent;
+  entry.coordinator.OnAttemptEnd(id, attempt_number(1), refused, At(10));
+  BOOST_REQUIRE_EQUAL(entry.Take<dispatch_action>().size(), 2U);
+  auto late = attempt_result();
+  late.end = attempt_end::whole;
+  late.status = 200;
+  entry.coordinator.OnAttemptEnd(id, attempt_number(1), late, At(20));
+  BOOST_TEST(entry.coordinator.TakeActions().empty());
+  entry.coordinator.OnAttemptEnd(id, attempt_number(2), late, At(30));
+  BOOST_TEST(entry.Take<deliver_action>().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(one_caller_cannot_take_more_than_its_limit) {
   auto model = MakeModel("m", 1);
   model.caller_max_in_flight = 1;
