--- a/control/placement.cc
+++ b/control/placement.cc
@@ -26,6 +26,13 @@
   return ledger.get_open() ? ledger.get_open()->target : ledger.get_confirmed();
 }
 
+auto AddResident(const accelerator_ledger& ledger, const resident& item)
+    -> std::vector<resident> {
+  auto target = ledger.get_confirmed();
+  target.push_back(item);
+  return target;
+}
+
 auto FindByKey(const std::vector<resident>& residents, const replica_key& key)
     -> const resident* {
   const auto found =
@@ -68,6 +75,12 @@
   }
 };
 
+struct placement::place {
+  const backend_entry* backend = nullptr;
+  std::size_t accelerator = 0;
+  std::pair<bool, std::uint64_t> score;
+};
+
 struct placement::planning_round {
   const control_data& data;
   const model_demand& demand;
@@ -164,52 +177,53 @@
   round.loads_left = std::min(round.loads_left, by_concurrency);
 }
 
+auto placement::FindPlace(const planning_round& round,
+                          const desired_model& model) const
+    -> std::optional<place> {
+  auto best = std::optional<place>();
+  for (const auto& [name, backend] : round.data.backends) {
+    if (!backend.is_usable()) {
+      continue;
+    }
+    const auto is_new_site =
+        !model.planned_sites.contains(backend.info.data_centre);
+    for (auto i = std::size_t{0}; i < backend.accelerators.size(); ++i) {
+      const auto& ledger = backend.accelerators[i];
+      if (round.busy.contains({name, i}) ||
+          FindByKey(ledger.get_confirmed(), model.wanted.key) != nullptr) {
+        continue;
+      }
+      // A new data centre goes before more headroom.
+      const auto score = std::pair(is_new_site, ledger.GetHeadroom().get());
+      if ((!best || score > best->score) &&
+          ledger.FitsNow(AddResident(ledger, model.wanted))) {
+        best = place{&backend, i, score};
+      }
+    }
+  }
+  return best;
+}
+
 auto placement::PlanTier(planning_round& round, int tier) const -> void {
   for (auto& model : round.models) {
     while (round.loads_left > 0 &&
            model.planned < model.GetWanted(tier, options_.replica_rate)) {
-      const accelerator_ledger* best = nullptr;
-      auto best_place = std::pair<backend_name, std::size_t>();
-      auto best_score = std::pair<bool, std::uint64_t>();
-      for (const auto& [name, backend] : round.data.backends) {
-        if (!backend.is_usable()) {
-          continue;
-        }
-        const auto is_new_site =
-            !model.planned_sites.contains(backend.info.data_centre);
-        for (auto i = std::size_t{0}; i < backend.accelerators.size(); ++i) {
-          const auto& ledger = backend.accelerators[i];
-          if (round.busy.contains({name, i}) ||
-              FindByKey(ledger.get_confirmed(), model.wanted.key) != nullptr) {
-            continue;
-          }
-          auto target = ledger.get_confirmed();
-          target.push_back(model.wanted);
-          const auto score = std::pair(is_new_site, ledger.GetHeadroom().get());
-          if (ledger.FitsNow(target) &&
-              (best == nullptr || score > best_score)) {
-            best = &ledger;
-            best_place = {name, i};
-            best_score = score;
-          }
-        }
-      }
-      if (best == nullptr) {
+      const auto found = FindPlace(round, model);
+      if (!found) {
         // Make room only for what was declared, not for spares.
         if (tier <= kTierDeclared) {
           MakeRoom(round, model);
         }
         break;
       }
-      auto target = best->get_confirmed();
-      target.push_back(model.wanted);
-      const auto& site =
-          round.data.backends.at(best_place.first).info.data_centre;
-      round.AddOrder(best_place.first, best_place.second, std::move(target),
+      const auto& info = found->backend->info;
+      const auto& ledger = found->backend->accelerators[found->accelerator];
+      round.AddOrder(info.name, found->accelerator,
+                     AddResident(ledger, model.wanted),
                      "load " + model.wanted.key.model.get() + "@" +
                          model.wanted.key.version.get());
       ++model.planned;
-      model.planned_sites.insert(site);
+      model.planned_sites.insert(info.data_centre);
       --round.loads_left;
     }
   }
--- a/control/placement.h
+++ b/control/placement.h
@@ -2,6 +2,7 @@
 #define EBONY_CONTROL_PLACEMENT_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,7 @@
 // when others that serve the model stay.
 class placement {
   struct desired_model;
+  struct place;
   struct planning_round;
 
   placement_options options_;
@@ -44,6 +46,8 @@
   auto CollectModels(planning_round& round) const -> void;
   auto CollectReplicas(planning_round& round) const -> void;
   auto PlanLoads(planning_round& round) const -> void;
+  auto FindPlace(const planning_round& round, const desired_model& model) const
+      -> std::optional<place>;
   auto PlanTier(planning_round& round, int tier) const -> void;
   auto PlanAdapterChanges(planning_round& round) const -> void;
   auto PlanUnloads(planning_round& round) const -> void;
--- a/main/control_daemon.cc
+++ b/main/control_daemon.cc
@@ -16,9 +16,9 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t kEventCapacity = 65536;
+constexpr std::size_t kEventCapacity = 16384;
 constexpr std::size_t kClientCapacity = 4096;
-constexpr auto kCoreTick = milliseconds(10);
+constexpr auto kCoreTick = milliseconds(25);
 constexpr auto kReadTimeout = milliseconds(2000);
 constexpr auto kJoinInterval = milliseconds(500);
 // A suspected backend server is forgotten after this.
@@ -289,6 +289,7 @@
                         std::pair(newest.run, newest.sequence);
   if (is_newer) {
     newest = state;
+    leader_->has_news = true;
   }
   const auto& backends = state_.get_data().backends;
   const auto known = backends.find(state.name);
@@ -413,6 +414,7 @@
       .reads = {},
       .risks = {},
       .suspected_since = {},
+      .has_news = true,
       .load_tokens = static_cast<double>(settings_.loads_at_once()),
       .tokens_at = now,
       .next_placement = now + milliseconds(settings_.placement_ms()),
@@ -445,7 +447,10 @@
 auto control_daemon::RunLeaderDuties(mono_time now) -> void {
   ServeReads(now);
   AnswerChanges(now);
-  ProposeResolutions(now);
+  if (std::exchange(leader_->has_news, false) ||
+      now >= leader_->next_placement) {
+    ProposeResolutions(now);
+  }
   for (const auto& suspect :
        leader_->watch.FindSuspects(state_.get_data(), now)) {
     Propose(suspect);
--- a/main/control_daemon.h
+++ b/main/control_daemon.h
@@ -75,6 +75,7 @@
     std::vector<pending_read> reads;
     std::vector<model_risk> risks;
     std::map<backend_name, mono_time> suspected_since;
+    bool has_news = true;  // a report came since resolutions were looked for
     double load_tokens = 0;
     mono_time tokens_at;
     mono_time next_placement;
--- a/main/entry_daemon.cc
+++ b/main/entry_daemon.cc
@@ -17,10 +17,10 @@
 using json = nlohmann::ordered_json;
 using std::chrono::milliseconds;
 
-constexpr std::size_t kEventCapacity = 65536;
-constexpr std::size_t kClientCapacity = 65536;
+constexpr std::size_t kEventCapacity = 16384;
+constexpr std::size_t kClientCapacity = 16384;
 constexpr auto kTransferGrace = milliseconds(5000);
-constexpr auto kCoreTick = milliseconds(10);
+constexpr auto kCoreTick = milliseconds(20);
 constexpr auto kDecisionTick = milliseconds(20);
 constexpr auto kGossipInterval = milliseconds(500);
 constexpr auto kConfirmInterval = milliseconds(200);
--- a/tools/load_run.cc
+++ b/tools/load_run.cc
@@ -68,6 +68,7 @@
 load_run::load_run(schema::load_settings settings)
     : settings_(std::move(settings)),
       random_(settings_.seed()),
+      nonce_(std::random_device()()),
       client_(kClientCapacity) {
   client_.Start();
 }
@@ -172,7 +173,8 @@
     call->limit = limit * 4;
   }
   if (percent(random_) < settings_.keyed_percent()) {
-    call->key = "key-" + call->tag;
+    // Other runs with the same seed must not meet these keys.
+    call->key = "key-" + std::to_string(nonce_) + "-" + call->tag;
   }
   if (percent(random_) < settings_.service_percent()) {
     call->is_service = true;
--- a/tools/load_run.h
+++ b/tools/load_run.h
@@ -57,6 +57,7 @@
 
   schema::load_settings settings_;
   std::mt19937_64 random_;
+  std::uint32_t nonce_;
   http_client client_;
   std::vector<std::string> models_;
   std::vector<double> popularity_;
