--- a/main/entry_daemon.cc
+++ b/main/entry_daemon.cc
@@ -4,9 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "codec/entry_codec.h"
 #include "codec/record_codec.h"
-#include "control/record_rules.h"
 #include "drivers/logger.h"
 #include "settings/settings_loader.h"
 
@@ -22,12 +20,6 @@
 constexpr auto kTransferGrace = milliseconds(5000);
 constexpr auto kCoreTick = milliseconds(20);
 constexpr auto kDecisionTick = milliseconds(20);
-constexpr auto kGossipInterval = milliseconds(500);
-constexpr auto kConfirmInterval = milliseconds(200);
-// Backend servers whose load one gossip message carries.
-constexpr std::size_t kMaxGossipLoads = 16;
-// Polls without an answer after which another voter is asked.
-constexpr std::uint64_t kPollsToGiveUp = 3;
 constexpr int kClockDriftPermille = 10;
 const auto kJsonHeaders = header_map{{"Content-Type", "application/json"}};
 
@@ -413,141 +405,6 @@
   coordinator_.OnAttemptEnd(item.id, item.attempt, item.result, now);
 }
 
-auto entry_daemon::OnFrame(const inbound_frame& inbound) -> void {
-  const auto& frame = inbound.frame;
-  switch (frame.body_case()) {
-    case schema::link_frame::kUpdate:
-      OnUpdate(frame.update(), vm_name(frame.from()));
-      break;
-    case schema::link_frame::kAsk:
-      OnClaimAsk(inbound);
-      break;
-    case schema::link_frame::kAnswer:
-      OnClaimAnswer(frame.answer());
-      break;
-    case schema::link_frame::kFinish:
-      claim_table_.Finish(request_key(frame.finish().key()),
-                          GetOwner(frame.finish()), GetOutcome(frame.finish()));
-      break;
-    case schema::link_frame::kAttest:
-      OnConfirmAsked(inbound);
-      break;
-    case schema::link_frame::kGossip:
-      OnGossip(frame.gossip());
-      break;
-    default:
-      metrics_.Count("ebony_entry_unexpected_frames_total");
-      break;
-  }
-}
-
-auto entry_daemon::MergeRows(const schema::entry_update& update) -> void {
-  for (const auto& row : update.backends()) {
-    backend_rows_[row.backend()] = row;
-  }
-  for (const auto& row : update.records()) {
-    record_rows_[row.content().name()] = row;
-  }
-}
-
-auto entry_daemon::OnUpdate(const schema::entry_update& update,
-                            const vm_name& from) -> void {
-  if (update.entry_incarnation() != run_.get()) {
-    return;  // The answer to an earlier run of this daemon.
-  }
-  if (!update.attested_by_peer()) {
-    leader_ = update.leader();
-  }
-  if (update.lease_ms() == 0) {
-    return;
-  }
-  const auto before = table_.get_version();
-  const auto is_applied = table_.Apply(ToDomain(update));
-  if (is_applied && table_.get_version() > before) {
-    MergeRows(update);
-  }
-  const auto is_held =
-      table_.get_version() >= config_version(update.to_version());
-  if (!is_held) {
-    return;
-  }
-  if (update.attested_by_peer()) {
-    lease_.OnConfirmed(update.sequence(), from);
-    return;
-  }
-  last_answered_poll_ = std::max(last_answered_poll_, update.sequence());
-  lease_.OnLeaderLease(update.sequence(), milliseconds(update.lease_ms()));
-  roster_.OnPollAnswered(update.sequence());
-  if (update.term() != leader_term_) {
-    leader_term_ = update.term();
-    roster_.OnNewLeader();
-  }
-  if (table_.get_version() > before) {
-    next_poll_ = GetNow();  // Tells the leader at once that it is held.
-  }
-}
-
-auto entry_daemon::OnConfirmAsked(const inbound_frame& inbound) -> void {
-  if (lease_.is_blank()) {
-    return;
-  }
-  const auto& ask = inbound.frame.attest();
-  auto reply = schema::link_frame();
-  auto* update = reply.mutable_update();
-  update->set_sequence(ask.sequence());
-  update->set_entry_incarnation(ask.incarnation());
-  update->set_attested_by_peer(true);
-  update->set_lease_ms(1);  // The asker counts the lease that it had.
-  update->set_from_version(ask.have_version());
-  update->set_to_version(
-      std::max(ask.have_version(), table_.get_version().get()));
-  for (const auto& [name, row] : backend_rows_) {
-    if (row.changed() > ask.have_version()) {
-      *update->add_backends() = row;
-    }
-  }
-  for (const auto& [name, row] : record_rows_) {
-    if (row.changed() > ask.have_version()) {
-      *update->add_records() = row;
-    }
-  }
-  link_.Reply(inbound.route, std::move(reply));
-}
-
-auto entry_daemon::OnGossip(const schema::backend_gossip& gossip) -> void {
-  const auto now = GetNow();
-  directory_.OnState(vm_name(gossip.vm()), gossip.serving(), gossip.draining(),
-                     gossip.in_flight(), now);
-  for (const auto& load : gossip.loads()) {
-    const auto name = backend_name(load.backend());
-    router_.OnReport(name, incarnation(load.incarnation()), load.running(),
-                     load.queued(), now);
-    router_.SetLeaving(name, load.leaving());
-  }
-}
-
-auto entry_daemon::OnClaimAsk(const inbound_frame& inbound) -> void {
-  const auto& ask = inbound.frame.ask();
-  auto reply = schema::link_frame();
-  *reply.mutable_answer() = ToSchema(claim_table_.Ask(
-      request_key(ask.key()), GetOwner(ask), ask.fingerprint(), GetNow()));
-  auto* answer = reply.mutable_answer();
-  answer->set_key(ask.key());
-  answer->set_attempt(ask.attempt());
-  answer->set_owner_incarnation(ask.owner_incarnation());
-  answer->set_holder(self_.get());
-  link_.Reply(inbound.route, std::move(reply));
-}
-
-auto entry_daemon::OnClaimAnswer(const schema::claim_answer& answer) -> void {
-  if (answer.owner_incarnation() != run_.get()) {
-    return;
-  }
-  coordinator_.OnClaimReply(request_key(answer.key()), answer.attempt(),
-                            vm_name(answer.holder()), ToDomain(answer),
-                            GetNow());
-}
-
 auto entry_daemon::RunTimers(mono_time now) -> void {
   const auto is_current = lease_.IsCurrent(now);
   if (is_current != was_current_) {
@@ -577,78 +434,6 @@
   }
 }
 
-auto entry_daemon::Poll(mono_time now) -> void {
-  next_poll_ = now + milliseconds(settings_.poll_ms());
-  ++poll_sequence_;
-  auto frame = schema::link_frame();
-  auto* poll = frame.mutable_poll();
-  poll->set_vm(self_.get());
-  poll->set_incarnation(run_.get());
-  poll->set_sequence(poll_sequence_);
-  poll->set_have_version(table_.get_version().get());
-  poll->set_schema_version(kNewestSchemaVersion);
-  poll->set_serving(IsServing(now));
-  roster_.FillPoll(*poll, now);
-  for (const auto& [model, count] : demand_) {
-    auto* row = poll->add_demands();
-    row->set_model(model.get());
-    row->set_requests(count);
-  }
-  demand_.clear();
-  const auto is_silent = poll_sequence_ - last_answered_poll_ > kPollsToGiveUp;
-  auto target = vm_name(leader_);
-  if (leader_.empty() || is_silent) {
-    target = voters_[next_voter_++ % voters_.size()].name;
-  }
-  lease_.OnPollSent(poll_sequence_, now);
-  link_.Send(target, std::move(frame));
-}
-
-auto entry_daemon::Gossip(mono_time now) -> void {
-  next_gossip_ = now + kGossipInterval;
-  const auto in_flight = static_cast<std::uint32_t>(coordinator_.get_active());
-  const auto is_serving = lease_.IsCurrent(now);
-  directory_.OnState(self_, is_serving, draining_, in_flight, now);
-  auto frame = schema::link_frame();
-  auto* gossip = frame.mutable_gossip();
-  gossip->set_vm(self_.get());
-  gossip->set_serving(is_serving);
-  gossip->set_draining(draining_);
-  gossip->set_in_flight(in_flight);
-  roster_.FillGossip(*gossip, kMaxGossipLoads);
-  for (const auto& peer : peers_) {
-    if (peer.name != self_) {
-      link_.Send(peer.name, frame);
-    }
-  }
-  metrics_.Set("ebony_entry_active_requests", in_flight);
-  metrics_.Set("ebony_entry_waiting_requests",
-               static_cast<double>(coordinator_.get_waiting()));
-  metrics_.Set("ebony_entry_config_version",
-               static_cast<double>(table_.get_version().get()));
-  metrics_.Set("ebony_entry_claims",
-               static_cast<double>(claim_table_.get_size()));
-}
-
-auto entry_daemon::AskConfirmation(mono_time now) -> void {
-  next_confirm_ = now + kConfirmInterval;
-  ++confirm_sequence_;
-  lease_.OnConfirmationAsked(confirm_sequence_, now);
-  for (const auto& peer : peers_) {
-    if (peer.name == self_) {
-      continue;
-    }
-    auto frame = schema::link_frame();
-    auto* ask = frame.mutable_attest();
-    ask->set_vm(self_.get());
-    ask->set_incarnation(run_.get());
-    ask->set_sequence(confirm_sequence_);
-    ask->set_have_version(table_.get_version().get());
-    link_.Send(peer.name, std::move(frame));
-  }
-  metrics_.Count("ebony_entry_confirmation_rounds_total");
-}
-
 auto entry_daemon::RunDrain(mono_time now) -> void {
   // Another entry may name this one until it stops hearing of it, and callers
   // keep that answer.
@@ -670,30 +455,6 @@
   }
 }
 
-auto entry_daemon::RunClaims() -> void {
-  for (const auto& ask : claim_book_.TakeAsks()) {
-    if (ask.holder == self_) {
-      const auto reply =
-          claim_table_.Ask(ask.key, ask.owner, ask.fingerprint, GetNow());
-      coordinator_.OnClaimReply(ask.key, ask.owner.attempt, self_, reply,
-                                GetNow());
-      continue;
-    }
-    auto frame = schema::link_frame();
-    *frame.mutable_ask() = ToSchema(ask);
-    link_.Send(ask.holder, std::move(frame));
-  }
-  for (const auto& finish : claim_book_.TakeFinishes()) {
-    if (finish.holder == self_) {
-      claim_table_.Finish(finish.key, finish.owner, finish.outcome);
-      continue;
-    }
-    auto frame = schema::link_frame();
-    *frame.mutable_finish() = ToSchema(finish);
-    link_.Send(finish.holder, std::move(frame));
-  }
-}
-
 auto entry_daemon::Run(const dispatch_action& action) -> void {
   const auto found = sessions_.find(action.id);
   if (found == sessions_.end()) {
--- a/main/entry_daemon.h
+++ b/main/entry_daemon.h
@@ -34,6 +34,8 @@
 // The caller-facing daemon: a thin shell that runs the request decisions on
 // one thread and joins them to callers, backend servers, peers and control.
 class entry_daemon {
+  static constexpr auto kGossipInterval = std::chrono::milliseconds(500);
+
   using session_pointer = std::shared_ptr<caller_session>;
 
   struct arrival {
--- a/tests/order_world.cc
+++ b/tests/order_world.cc
@@ -173,6 +173,16 @@
   }
 }
 
+// The sender of an order learns after a time that its exchange failed.
+auto order_world::FailExchange(const flight& item) -> void {
+  auto failed = flight();
+  failed.kind = flight_kind::answer;
+  failed.leader = item.leader;
+  failed.body = item.body;
+  failed.is_answered = false;
+  Send(std::move(failed), kOrderTimeout);
+}
+
 auto order_world::Deliver(flight item, order_fault fault) -> void {
   const auto is_order = item.kind == flight_kind::order;
   switch (fault) {
@@ -183,23 +193,12 @@
         network_.pop_back();
       }
       if (is_order) {
-        // The sender's exchange fails later; a copy is no longer under way.
-        auto failed = flight();
-        failed.kind = flight_kind::answer;
-        failed.leader = item.leader;
-        failed.body = item.body;
-        failed.is_answered = false;
-        Send(std::move(failed), kOrderTimeout);
+        FailExchange(item);
       }
       return;
     case order_fault::message_late: {
       if (is_order) {
-        auto failed = flight();
-        failed.kind = flight_kind::answer;
-        failed.leader = item.leader;
-        failed.body = item.body;
-        failed.is_answered = false;
-        Send(std::move(failed), kOrderTimeout);
+        FailExchange(item);
       }
       const auto late = honours_fencing_ || !is_order ? kVeryLate : kLate;
       Send(std::move(item), late);
--- a/tests/order_world.h
+++ b/tests/order_world.h
@@ -88,6 +88,7 @@
   auto TakeDue() -> std::optional<flight>;
   auto Deliver(flight item, order_fault fault) -> void;
   auto TakeOrder(const flight& item) -> void;
+  auto FailExchange(const flight& item) -> void;
   auto TakeReport(const backend_announcement& report) -> void;
   auto RunEngines() -> void;
   auto RunLeader() -> void;
--- a/tests/request_world.cc
+++ b/tests/request_world.cc
@@ -268,7 +268,8 @@
   target.coordinator->OnAttemptEnd(item.id, item.attempt, result, now_);
 }
 
-auto request_world::Deliver(const flight& item, request_fault fault) -> void {
+// Lets the fault happen. Returns true when the message goes no further.
+auto request_world::Disturb(const flight& item, request_fault fault) -> bool {
   const auto is_link = item.kind == flight_kind::ask ||
                        item.kind == flight_kind::reply ||
                        item.kind == flight_kind::finish;
@@ -281,7 +282,7 @@
       } else if (is_answer) {
         CutAttempt(item);
       }
-      return;
+      return true;
     case request_fault::message_late:
       if (item.kind == flight_kind::request) {
         // It waits in a socket buffer while the entry gives the attempt up.
@@ -291,12 +292,12 @@
         DelayAttempt(item, kLate);
       }
       Send(item, kLate);
-      return;
+      return true;
     case request_fault::message_reordered:
       // One connection keeps the order of its bytes.
       if (!is_answer) {
         Send(item, kLatency * 8);
-        return;
+        return true;
       }
       break;
     case request_fault::message_repeated:
@@ -308,14 +309,14 @@
     case request_fault::stream_cut:
       if (is_answer) {
         CutAttempt(item);
-        return;
+        return true;
       }
       break;
     case request_fault::engine_stalls:
       if (is_answer) {
         DelayAttempt(item, kStall);
         Send(item, kStall);
-        return;
+        return true;
       }
       engines_[item.engine].stalled_until = now_ + kStall;
       break;
@@ -342,6 +343,13 @@
     default:
       break;
   }
+  return false;
+}
+
+auto request_world::Deliver(const flight& item, request_fault fault) -> void {
+  if (Disturb(item, fault)) {
+    return;
+  }
   switch (item.kind) {
     case flight_kind::ask: {
       auto& holder = entries_[static_cast<std::size_t>(
--- a/tests/request_world.h
+++ b/tests/request_world.h
@@ -131,6 +131,7 @@
   auto StopEntry(std::size_t index) -> void;
   auto Send(flight item, duration latency) -> void;
   auto TakeDue() -> std::optional<flight>;
+  auto Disturb(const flight& item, request_fault fault) -> bool;
   auto Deliver(const flight& item, request_fault fault) -> void;
   auto Receive(const flight& item) -> void;
   auto RunEngine(const flight& item, request_fault fault) -> void;
