--- a/control/placement.cc
+++ b/control/placement.cc
@@ -222,6 +222,7 @@
                      AddResident(ledger, model.wanted),
                      "load " + model.wanted.key.model.get() + "@" +
                          model.wanted.key.version.get());
+      ++round.plan.moves.loads;
       ++model.planned;
       model.planned_sites.insert(info.data_centre);
       --round.loads_left;
@@ -265,6 +266,7 @@
       if (dropped.empty() || !fits()) {
         continue;
       }
+      round.plan.moves.unloads += dropped.size();
       for (const auto& key : dropped) {
         auto* other = round.Find(key);
         --other->serving;
@@ -340,7 +342,10 @@
         const auto is_superseded = !current || is_leaving;
         return is_superseded && is_replaced.at(item.key.model);
       });
-      if (kept.size() < ledger.get_confirmed().size()) {
+      const auto gone = ledger.get_confirmed().size() - kept.size();
+      if (gone > 0) {
+        (is_leaving ? round.plan.moves.shifts : round.plan.moves.unloads) +=
+            gone;
         round.AddOrder(name, i, std::move(kept), "unload what is not wanted");
       }
     }
--- a/control/placement.h
+++ b/control/placement.h
@@ -27,9 +27,18 @@
   std::string reason;
 };
 
+// Moves of replicas in one plan.
+struct move_counts {
+  std::size_t loads = 0;
+  std::size_t unloads = 0;
+  // Replicas that go from a leaving server because they serve elsewhere.
+  std::size_t shifts = 0;
+};
+
 struct placement_plan {
   std::vector<issue_order_command> orders;
   std::vector<model_risk> risks;
+  move_counts moves;
 };
 
 // Decides the next orders. Loads are planned in tiers over all models: first
--- a/deploy/bench.sh
+++ b/deploy/bench.sh
@@ -121,10 +121,18 @@
   echo "$SITE resident memory, MiB:$text"
 }
 
+# Sums a counter over the control VMs.
+control_counter() {
+  local i
+  for i in $(seq "$CONTROL_COUNT"); do
+    curl -s "http://$(control_http "$i")/metrics"
+  done | awk -v name="$1" '$1 == name {s += $2} END {print s + 0}'
+}
+
 print_moves() {
   local report
   report=$(curl -s "http://$(admin_http)/report")
-  echo "$SITE moves so far: loads $(grep -o '"loads":[0-9]*' <<<"$report" | cut -d: -f2), unloads $(grep -o '"unloads":[0-9]*' <<<"$report" | cut -d: -f2), overfilled $(grep -o '"overfilled":[0-9]*' <<<"$report" | cut -d: -f2), doubled keys $(grep -o '"doubled_keys":[0-9]*' <<<"$report" | cut -d: -f2)"
+  echo "$SITE moves: loads $(control_counter ebony_control_loads_total), unloads $(control_counter ebony_control_unloads_total), shifts $(control_counter ebony_control_shifts_total); overfilled $(grep -o '"overfilled":[0-9]*' <<<"$report" | cut -d: -f2), doubled keys $(grep -o '"doubled_keys":[0-9]*' <<<"$report" | cut -d: -f2)"
 }
 
 # Starts a site: NAME RECORD LOADS-AT-ONCE
@@ -145,6 +153,9 @@
 }
 
 close_site() {
+  # A server leaves at the end of the night: its replicas shift.
+  ctl drain engine-0 >/dev/null
+  sleep 12
   print_moves
   print_memory
   stop_site
--- a/main/control_daemon_leader.cc
+++ b/main/control_daemon_leader.cc
@@ -281,6 +281,9 @@
       placement_.Plan(state_.get_data(), leader_->demand,
                       static_cast<std::size_t>(leader_->load_tokens));
   leader_->risks = plan.risks;
+  metrics_.Count("ebony_control_loads_total", plan.moves.loads);
+  metrics_.Count("ebony_control_unloads_total", plan.moves.unloads);
+  metrics_.Count("ebony_control_shifts_total", plan.moves.shifts);
   for (const auto& issue : plan.orders) {
     const auto& ledger = state_.get_data()
                              .backends.at(issue.backend)
--- a/tools/ebonyctl.cc
+++ b/tools/ebonyctl.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -329,6 +330,12 @@
 }
 
 auto Run(int argc, const char** argv) -> int {
+  const auto asks_help = std::any_of(argv, argv + argc, [](const char* word) {
+    return std::string(word) == "--help";
+  });
+  if (asks_help) {
+    std::cout << kUsage << std::flush;  // popt adds the flags, then exits
+  }
   auto settings = schema::ctl_settings();
   auto operands = std::vector<std::string>();
   LoadSettings(argc, argv, ReadEnvironment, settings, &operands);
