A blank entry does not name itself in the directory

An entry that has just started has heard of nobody, so its directory fell back to naming everyone, itself among them, although it knew that its own configuration was not current yet.

Ruled out: a lost lease at the others (their in-time answers went on).

Change: the fallback leaves out who says that it does not serve, as long as anybody else is left. A test, seen failing first (2 entries named instead of 1).

--- a/entry/entry_directory.cc
+++ b/entry/entry_directory.cc
@@ -55,10 +55,12 @@
   if (!answer.empty()) {
     return answer;
   }
-  // Nobody is known to serve: callers try everyone who did not say that they
-  // leave, and as a last resort everyone.
+  // Nobody is known to serve, as just after a start: callers try everyone who
+  // did not say that they leave or do not serve, and as a last resort everyone.
   for (const auto& [vm, peer] : peers_) {
-    if (!peer.is_draining) {
+    const auto says_no = peer.is_heard && !peer.is_serving &&
+                         now - peer.heard < options_.peer_timeout;
+    if (!peer.is_draining && !says_no) {
       answer.push_back(peer.entry);
       answer.back().weight = 1;
     }
--- /dev/null
+++ b/tests/entry_directory_test.cc
@@ -0,0 +1,27 @@
+#include "entry/entry_directory.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "tests/test_support.h"
+
+namespace ebony::testing {
+
+BOOST_AUTO_TEST_SUITE(entry_directory_test)
+
+BOOST_AUTO_TEST_CASE(a_blank_entry_does_not_name_itself) {
+  auto entries = std::vector<directory_entry>(2);
+  entries[0].vm = vm_name("e1");
+  entries[1].vm = vm_name("e2");
+  auto directory = entry_directory({}, vm_name("e1"), entries);
+  directory.OnState(vm_name("e1"), false, false, 0, At(0));
+  const auto answer = directory.GetAnswer(At(1));
+  BOOST_REQUIRE_EQUAL(answer.size(), 1U);
+  BOOST_TEST(answer[0].vm.get() == "e2");
+  // With nobody else left it is still named.
+  directory.OnState(vm_name("e2"), false, true, 0, At(1));
+  BOOST_TEST(!directory.GetAnswer(At(2)).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace ebony::testing
