--- /dev/null
+++ b/codec/site_codec.cc
@@ -0,0 +1,82 @@
+#include "codec/site_codec.h"
+
+#include <algorithm>
+
+namespace ebony {
+
+namespace {
+
+auto GetAgeMilliseconds(mono_time since, mono_time now) -> std::uint32_t {
+  const auto age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - since);
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, age.count()));
+}
+
+}  // namespace
+
+auto ToSchema(const backend_record& record, mono_time now)
+    -> schema::backend_status_row {
+  const auto& status = record.status;
+  auto row = schema::backend_status_row();
+  row.set_id(status.id.get());
+  row.set_service(status.service.get());
+  row.set_address(status.address.get());
+  row.set_data_centre(status.data_centre.get());
+  row.set_slots(status.slots);
+  row.set_leaving(status.is_leaving);
+  row.set_sequence(status.sequence);
+  row.set_born_ms(status.born_ms);
+  for (const auto& model : status.models) {
+    auto* held = row.add_models();
+    held->set_name(model.name.get());
+    held->set_version(model.version);
+    for (const auto& adapter : model.adapters) {
+      held->add_adapters(adapter.get());
+    }
+  }
+  for (const auto& name : status.in_memory) {
+    row.add_in_memory(name.get());
+  }
+  for (const auto& name : status.on_disk) {
+    row.add_on_disk(name.get());
+  }
+  row.set_gone(record.is_gone);
+  row.set_suspected(record.is_suspected);
+  row.set_silent_ms(GetAgeMilliseconds(record.heard, now));
+  return row;
+}
+
+auto ToDomain(const schema::backend_status_row& row, mono_time now)
+    -> backend_record {
+  auto record = backend_record();
+  auto& status = record.status;
+  status.id = backend_name(row.id());
+  status.service = service_name(row.service());
+  status.address = host_port(row.address());
+  status.data_centre = data_centre_name(row.data_centre());
+  status.slots = row.slots();
+  status.is_leaving = row.leaving();
+  status.sequence = row.sequence();
+  status.born_ms = row.born_ms();
+  for (const auto& held : row.models()) {
+    auto model = held_model();
+    model.name = model_name(held.name());
+    model.version = held.version();
+    for (const auto& adapter : held.adapters()) {
+      model.adapters.emplace_back(adapter);
+    }
+    status.models.push_back(std::move(model));
+  }
+  for (const auto& name : row.in_memory()) {
+    status.in_memory.emplace_back(name);
+  }
+  for (const auto& name : row.on_disk()) {
+    status.on_disk.emplace_back(name);
+  }
+  record.is_gone = row.gone();
+  record.is_suspected = row.suspected();
+  record.heard = now - std::chrono::milliseconds(row.silent_ms());
+  return record;
+}
+
+}  // namespace ebony
--- /dev/null
+++ b/control/gateway_registry.cc
@@ -0,0 +1,32 @@
+#include "control/gateway_registry.h"
+
+namespace ebony {
+
+auto gateway_registry::Hear(const gateway_record& record) -> bool {
+  auto& known = gateways_[record.vm];
+  const auto changed = known.caller_address != record.caller_address ||
+                       known.is_ready != record.is_ready;
+  known = record;
+  return changed;
+}
+
+auto gateway_registry::ListReady(mono_time now) const
+    -> std::vector<gateway_record> {
+  auto ready = std::vector<gateway_record>();
+  for (const auto& [vm, record] : gateways_) {
+    if (record.is_ready && now - record.heard <= kSilenceLimit) {
+      ready.push_back(record);
+    }
+  }
+  return ready;
+}
+
+auto gateway_registry::CountHeard(mono_time now) const -> std::size_t {
+  auto count = std::size_t{0};
+  for (const auto& [vm, record] : gateways_) {
+    count += now - record.heard <= kSilenceLimit ? 1 : 0;
+  }
+  return count;
+}
+
+}  // namespace ebony
--- /dev/null
+++ b/drivers/event_loop.cc
@@ -0,0 +1,177 @@
+#include "drivers/event_loop.h"
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include "core/error_kind.h"
+
+namespace ebony {
+
+namespace {
+
+constexpr int kEventsPerRound = 64;
+// Bounds how late a signal that arrives between two waits is noticed.
+constexpr duration kLongestWait = std::chrono::milliseconds(200);
+
+auto ReadClock() -> mono_time {
+  return std::chrono::time_point_cast<duration>(
+      std::chrono::steady_clock::now());
+}
+
+auto MakeToken(int fd, std::uint32_t generation) -> std::uint64_t {
+  return (static_cast<std::uint64_t>(generation) << 32U) |
+         static_cast<std::uint32_t>(fd);
+}
+
+}  // namespace
+
+event_loop::event_loop()
+    : epoll_fd_(::epoll_create1(EPOLL_CLOEXEC)), now_(ReadClock()) {
+  if (epoll_fd_ < 0) {
+    throw ebony_error(error_kind::internal, "cannot create an epoll instance");
+  }
+}
+
+event_loop::~event_loop() {
+  ::close(epoll_fd_);
+}
+
+auto event_loop::Control(int operation, int fd, const watch& entry) -> void {
+  auto event = epoll_event();
+  event.events = EPOLLRDHUP;
+  event.events |= entry.wants_read ? EPOLLIN : 0U;
+  event.events |= entry.wants_write ? EPOLLOUT : 0U;
+  event.data.u64 = MakeToken(fd, entry.generation);
+  if (::epoll_ctl(epoll_fd_, operation, fd, &event) != 0) {
+    throw ebony_error(error_kind::internal, "epoll_ctl failed");
+  }
+}
+
+auto event_loop::Watch(int fd, bool wants_read, bool wants_write, io_hook hook)
+    -> void {
+  auto entry = std::make_shared<watch>();
+  entry->generation = next_generation_++;
+  entry->wants_read = wants_read;
+  entry->wants_write = wants_write;
+  entry->hook = std::move(hook);
+  Control(EPOLL_CTL_ADD, fd, *entry);
+  watches_[fd] = std::move(entry);
+}
+
+auto event_loop::Change(int fd, bool wants_read, bool wants_write) -> void {
+  const auto found = watches_.find(fd);
+  if (found == watches_.end()) {
+    return;
+  }
+  auto& entry = *found->second;
+  if (entry.wants_read == wants_read && entry.wants_write == wants_write) {
+    return;
+  }
+  entry.wants_read = wants_read;
+  entry.wants_write = wants_write;
+  Control(EPOLL_CTL_MOD, fd, entry);
+}
+
+auto event_loop::Forget(int fd) -> void {
+  if (watches_.erase(fd) > 0) {
+    ::epoll_ctl(epoll_fd_, EPOLL_CTL_DEL, fd, nullptr);
+  }
+}
+
+auto event_loop::AddTimer(mono_time at, std::function<void()> hook)
+    -> timer_id {
+  const auto id = timer_id(next_timer_++);
+  timers_.emplace(at, timer{id, std::move(hook)});
+  timer_times_.emplace(id.get(), at);
+  return id;
+}
+
+auto event_loop::AddTimerIn(duration delay, std::function<void()> hook)
+    -> timer_id {
+  return AddTimer(now_ + delay, std::move(hook));
+}
+
+auto event_loop::CancelTimer(timer_id id) -> void {
+  const auto found = timer_times_.find(id.get());
+  if (found == timer_times_.end()) {
+    return;
+  }
+  const auto [first, last] = timers_.equal_range(found->second);
+  const auto entry = std::find_if(
+      first, last, [id](const auto& item) { return item.second.id == id; });
+  if (entry != last) {
+    timers_.erase(entry);
+  }
+  timer_times_.erase(found);
+}
+
+auto event_loop::RefreshNow() -> mono_time {
+  now_ = std::max(now_, ReadClock());
+  return now_;
+}
+
+auto event_loop::RunTimers() -> void {
+  while (!timers_.empty() && timers_.begin()->first <= now_) {
+    auto due = std::move(timers_.begin()->second);
+    timers_.erase(timers_.begin());
+    timer_times_.erase(due.id.get());
+    due.hook();
+  }
+}
+
+auto event_loop::GetWait() const -> int {
+  auto wait = kLongestWait;
+  if (!timers_.empty()) {
+    wait = std::min(wait, std::max(duration(0), timers_.begin()->first - now_));
+  }
+  // Rounded up, so that the loop does not spin below a millisecond.
+  return static_cast<int>(
+      std::chrono::ceil<std::chrono::milliseconds>(wait).count());
+}
+
+auto event_loop::Dispatch(std::uint64_t token, std::uint32_t events) -> void {
+  const auto fd = static_cast<int>(token & 0xffffffffU);
+  const auto found = watches_.find(fd);
+  if (found == watches_.end() ||
+      found->second->generation != static_cast<std::uint32_t>(token >> 32U)) {
+    return;  // forgotten earlier in this round
+  }
+  const auto entry = found->second;
+  const auto failed = (events & (EPOLLERR | EPOLLHUP)) != 0;
+  auto ready = io_readiness();
+  ready.can_read = failed || (events & (EPOLLIN | EPOLLRDHUP)) != 0;
+  ready.can_write = failed || (events & EPOLLOUT) != 0;
+  entry->hook(ready);
+}
+
+auto event_loop::Run(const std::function<bool()>& is_done) -> void {
+  auto events = std::array<epoll_event, kEventsPerRound>();
+  while (!is_done()) {
+    const auto count =
+        ::epoll_wait(epoll_fd_, events.data(), kEventsPerRound, GetWait());
+    if (count < 0 && errno != EINTR) {
+      throw ebony_error(error_kind::internal, "epoll_wait failed");
+    }
+    RefreshNow();
+    for (auto i = 0; i < count; ++i) {
+      const auto& event = events.at(static_cast<std::size_t>(i));
+      Dispatch(event.data.u64, event.events);
+    }
+    RunTimers();
+  }
+}
+
+auto RepeatEvery(event_loop& loop, duration period, std::function<void()> tick)
+    -> void {
+  tick();
+  loop.AddTimerIn(period, [&loop, period, tick = std::move(tick)] {
+    RepeatEvery(loop, period, tick);
+  });
+}
+
+}  // namespace ebony
--- /dev/null
+++ b/drivers/stream_socket.cc
@@ -0,0 +1,271 @@
+#include "drivers/stream_socket.h"
+
+#include <ace/INET_Addr.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include "core/error_kind.h"
+
+namespace ebony {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 16 * 1024;
+// A peer that does not acknowledge for this long is gone.
+constexpr int kUserTimeoutMs = 2500;
+constexpr int kBacklog = 512;
+constexpr duration kLinger = std::chrono::milliseconds(500);
+
+auto SetOption(int fd, int level, int option, int value) -> void {
+  // Best effort: the options only shorten waits.
+  static_cast<void>(::setsockopt(fd, level, option, &value, sizeof(value)));
+}
+
+auto Tune(int fd) -> void {
+  SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+}
+
+auto ParseAddress(const host_port& address, sockaddr_in& out) -> bool {
+  auto parsed = ACE_INET_Addr();
+  if (parsed.set(address.get().c_str(), AF_INET) != 0) {
+    return false;
+  }
+  std::memcpy(&out, parsed.get_addr(), sizeof(out));
+  return true;
+}
+
+}  // namespace
+
+stream_socket::stream_socket(event_loop& loop) : loop_(loop) {}
+
+stream_socket::~stream_socket() {
+  Close();
+}
+
+auto stream_socket::Adopt(int fd, hooks actions) -> void {
+  fd_ = fd;
+  hooks_ = std::move(actions);
+  is_connected_ = true;
+  Tune(fd_);
+  loop_.Watch(fd_, true, false, [self = shared_from_this()](auto ready) {
+    self->OnReady(ready);
+  });
+}
+
+auto stream_socket::Connect(const host_port& address, hooks actions) -> void {
+  hooks_ = std::move(actions);
+  auto target = sockaddr_in();
+  if (ParseAddress(address, target)) {
+    fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  }
+  const auto started =
+      fd_ >= 0 && (::connect(fd_, reinterpret_cast<const sockaddr*>(&target),
+                             sizeof(target)) == 0 ||
+                   errno == EINPROGRESS);
+  if (!started) {
+    // Reported from the loop, never from inside the caller's call.
+    loop_.AddTimerIn(duration(0), [self = shared_from_this()] {
+      self->End(socket_end::not_connected);
+    });
+    return;
+  }
+  Tune(fd_);
+  loop_.Watch(fd_, false, true, [self = shared_from_this()](auto ready) {
+    self->OnReady(ready);
+  });
+}
+
+auto stream_socket::FinishConnect() -> bool {
+  auto error = 0;
+  auto size = static_cast<socklen_t>(sizeof(error));
+  if (::getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size) != 0 ||
+      error != 0) {
+    End(socket_end::not_connected);
+    return false;
+  }
+  is_connected_ = true;
+  return true;
+}
+
+auto stream_socket::OnReady(io_readiness ready) -> void {
+  const auto self = shared_from_this();
+  if (!is_connected_ && !FinishConnect()) {
+    return;
+  }
+  if (ready.can_write) {
+    Flush();
+  }
+  if (ready.can_read && fd_ >= 0) {
+    ReadAll();
+  }
+  if (fd_ >= 0) {
+    UpdateWatch();
+  }
+}
+
+auto stream_socket::ReadAll() -> void {
+  auto buffer = std::array<char, kReadBytes>();
+  while (fd_ >= 0) {
+    const auto count = ::recv(fd_, buffer.data(), buffer.size(), 0);
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count < 0) {
+      if (errno != EAGAIN && errno != EWOULDBLOCK) {
+        End(socket_end::reset);
+      }
+      return;
+    }
+    if (count == 0) {
+      End(socket_end::closed);
+      return;
+    }
+    if (!is_closing_ && hooks_.on_bytes) {
+      // The hook may replace itself.
+      const auto on_bytes = hooks_.on_bytes;
+      on_bytes({buffer.data(), static_cast<std::size_t>(count)});
+    }
+    if (static_cast<std::size_t>(count) < buffer.size()) {
+      return;
+    }
+  }
+}
+
+auto stream_socket::Flush() -> void {
+  while (fd_ >= 0 && !unsent_.empty()) {
+    const auto count =
+        ::send(fd_, unsent_.data(), unsent_.size(), MSG_NOSIGNAL);
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count < 0) {
+      if (errno != EAGAIN && errno != EWOULDBLOCK) {
+        End(socket_end::reset);
+      }
+      return;
+    }
+    sent_bytes_ += static_cast<std::uint64_t>(count);
+    unsent_.erase(0, static_cast<std::size_t>(count));
+  }
+  if (is_closing_ && fd_ >= 0) {
+    ShutDownWriting();
+  }
+}
+
+auto stream_socket::UpdateWatch() -> void {
+  loop_.Change(fd_, is_connected_, !is_connected_ || !unsent_.empty());
+}
+
+auto stream_socket::Send(std::string_view bytes) -> void {
+  if (!is_open()) {
+    return;
+  }
+  unsent_.append(bytes);
+  if (!is_connected_) {
+    return;
+  }
+  Flush();
+  if (fd_ >= 0) {
+    UpdateWatch();
+  }
+}
+
+auto stream_socket::ShutDownWriting() -> void {
+  if (linger_timer_ != timer_id()) {
+    return;
+  }
+  ::shutdown(fd_, SHUT_WR);
+  linger_timer_ =
+      loop_.AddTimerIn(kLinger, [self = shared_from_this()] { self->Close(); });
+}
+
+auto stream_socket::CloseGracefully() -> void {
+  if (!is_open()) {
+    return;
+  }
+  is_closing_ = true;
+  hooks_ = {};
+  if (unsent_.empty()) {
+    ShutDownWriting();
+  }
+}
+
+auto stream_socket::End(socket_end reason) -> void {
+  if (is_ended_) {
+    return;
+  }
+  is_ended_ = true;
+  const auto on_end = std::move(hooks_.on_end);
+  Close();
+  if (on_end) {
+    on_end(reason);
+  }
+}
+
+auto stream_socket::Close() -> void {
+  is_ended_ = true;
+  hooks_ = {};
+  loop_.CancelTimer(linger_timer_);
+  if (fd_ < 0) {
+    return;
+  }
+  const auto fd = std::exchange(fd_, -1);
+  loop_.Forget(fd);
+  ::close(fd);
+}
+
+stream_acceptor::stream_acceptor(event_loop& loop,
+                                 const host_port& address,
+                                 std::function<void(int)> on_accept)
+    : loop_(loop) {
+  auto target = sockaddr_in();
+  if (!ParseAddress(address, target)) {
+    throw ebony_error(error_kind::invalid_request,
+                      "not an address: " + address.get());
+  }
+  fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  SetOption(fd_, SOL_SOCKET, SO_REUSEADDR, 1);
+  const auto bound = fd_ >= 0 &&
+                     ::bind(fd_, reinterpret_cast<const sockaddr*>(&target),
+                            sizeof(target)) == 0 &&
+                     ::listen(fd_, kBacklog) == 0;
+  if (!bound) {
+    const auto problem = std::string(std::strerror(errno));
+    Stop();
+    throw ebony_error(error_kind::internal,
+                      "cannot listen on " + address.get() + ": " + problem);
+  }
+  loop_.Watch(fd_, true, false, [this, on_accept](io_readiness) {
+    while (fd_ >= 0) {
+      const auto fd =
+          ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0) {
+        return;
+      }
+      on_accept(fd);
+    }
+  });
+}
+
+stream_acceptor::~stream_acceptor() {
+  Stop();
+}
+
+auto stream_acceptor::Stop() -> void {
+  if (fd_ < 0) {
+    return;
+  }
+  const auto fd = std::exchange(fd_, -1);
+  loop_.Forget(fd);
+  ::close(fd);
+}
+
+}  // namespace ebony
--- /dev/null
+++ b/entry/server_board.cc
@@ -0,0 +1,207 @@
+#include "entry/server_board.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ebony {
+
+namespace {
+
+// Tokens of prompt that cost a server as much as one token of output, for
+// each request in its batch.
+constexpr double kTokensPerRequest = 400;
+// Loads that differ by less are alike, and the draw decides.
+constexpr double kLoadNoise = 0.02;
+
+}  // namespace
+
+server_board::server_board(server_board_options options,
+                           const backend_registry& registry,
+                           random_source random)
+    : options_(options), random_(std::move(random)), registry_(registry) {}
+
+auto server_board::HoldsModel(const backend_status& status,
+                              const server_query& query) const -> bool {
+  if (!query.is_engine || query.model.get().empty()) {
+    return true;
+  }
+  const auto held = std::find_if(
+      status.models.begin(), status.models.end(),
+      [&query](const held_model& model) { return model.name == query.model; });
+  if (held == status.models.end()) {
+    return false;
+  }
+  return query.adapter.get().empty() ||
+         std::find(held->adapters.begin(), held->adapters.end(),
+                   query.adapter) != held->adapters.end();
+}
+
+auto server_board::GetLoad(const backend_name& id) -> server_load {
+  const auto& view = views_[id];
+  auto load = server_load();
+  load.requests =
+      std::max(view.own.requests,
+               view.all.requests - view.reported.requests + view.own.requests);
+  load.tokens =
+      std::max(view.own.tokens,
+               view.all.tokens - view.reported.tokens + view.own.tokens);
+  return load;
+}
+
+auto server_board::HasRoom(const backend_status& status,
+                           const server_query& query) -> bool {
+  const auto fill =
+      query.is_engine ? options_.engine_fill : options_.plain_fill;
+  return GetLoad(status.id).requests < status.slots * fill;
+}
+
+auto server_board::DropEjected(std::vector<const backend_record*>& candidates,
+                               mono_time now) -> void {
+  auto kept = std::vector<const backend_record*>();
+  for (const auto* record : candidates) {
+    if (views_[record->status.id].ejected_until <= now) {
+      kept.push_back(record);
+    }
+  }
+  const auto ejected = candidates.size() - kept.size();
+  if (static_cast<double>(ejected) <=
+      options_.max_ejected_part * static_cast<double>(candidates.size())) {
+    candidates = std::move(kept);
+  }
+}
+
+auto server_board::PickLeastLoaded(
+    const std::vector<const backend_record*>& candidates,
+    bool is_engine) -> const backend_status* {
+  const backend_status* best = nullptr;
+  auto best_score = 0.0;
+  auto alike = std::uint64_t{0};
+  for (const auto* record : candidates) {
+    const auto load = GetLoad(record->status.id);
+    const auto work = is_engine
+                          ? load.requests + load.tokens / kTokensPerRequest
+                          : load.requests;
+    const auto score = work / std::max(1U, record->status.slots);
+    if (best == nullptr || score < best_score - kLoadNoise) {
+      best = &record->status;
+      best_score = score;
+      alike = 1;
+    } else if (score < best_score + kLoadNoise && random_(++alike) == 0) {
+      best = &record->status;
+    }
+  }
+  return best;
+}
+
+auto server_board::Choose(const server_query& query, mono_time now)
+    -> server_choice {
+  auto all = std::vector<const backend_record*>();
+  auto suspected = std::vector<const backend_record*>();
+  auto has_server = false;
+  for (const auto& [id, record] : registry_.get_records()) {
+    const auto& status = record.status;
+    if (status.service != query.service || record.is_gone ||
+        status.is_leaving) {
+      continue;
+    }
+    const auto& view = views_[id];
+    if (view.is_missing && view.missed_born == status.born_ms) {
+      continue;
+    }
+    has_server = true;
+    if (!HoldsModel(status, query) ||
+        (query.avoid != nullptr && query.avoid->contains(id))) {
+      continue;
+    }
+    (record.is_suspected ? suspected : all).push_back(&record);
+  }
+  if (all.empty()) {
+    all = std::move(suspected);  // better than none
+  }
+  if (all.empty()) {
+    return {has_server ? server_verdict::absent : server_verdict::nowhere,
+            nullptr};
+  }
+  DropEjected(all, now);
+  std::erase_if(all, [&](const backend_record* record) {
+    return !HasRoom(record->status, query);
+  });
+  if (all.empty()) {
+    return {server_verdict::busy, nullptr};
+  }
+  return {server_verdict::chosen, PickLeastLoaded(all, query.is_engine)};
+}
+
+auto server_board::OnStarted(const backend_name& id, double tokens) -> void {
+  auto& view = views_[id];
+  view.own.requests += 1;
+  view.own.tokens += tokens;
+}
+
+auto server_board::OnPrefilled(const backend_name& id, double tokens) -> void {
+  auto& view = views_[id];
+  view.own.tokens = std::max(0.0, view.own.tokens - tokens);
+}
+
+auto server_board::OnEnded(const backend_name& id, double tokens) -> void {
+  auto& view = views_[id];
+  view.own.requests = std::max(0.0, view.own.requests - 1);
+  view.own.tokens = std::max(0.0, view.own.tokens - tokens);
+}
+
+auto server_board::OnAnswered(const backend_name& id) -> void {
+  auto& view = views_[id];
+  view.failures = 0;
+  view.next_ejection = duration(0);
+}
+
+auto server_board::OnFailed(const backend_name& id, mono_time now) -> bool {
+  auto& view = views_[id];
+  ++view.failures;
+  if (view.failures < options_.failures_to_eject) {
+    return false;
+  }
+  view.next_ejection = std::clamp(view.next_ejection * 2, options_.eject_min,
+                                  options_.eject_max);
+  view.ejected_until = now + view.next_ejection;
+  // One failure of the probe that follows ejects again.
+  view.failures = options_.failures_to_eject - 1;
+  return true;
+}
+
+auto server_board::OnMisdirected(const backend_name& id) -> void {
+  const auto* record = registry_.Find(id);
+  if (record == nullptr) {
+    return;
+  }
+  auto& view = views_[id];
+  view.is_missing = true;
+  view.missed_born = record->status.born_ms;
+}
+
+auto server_board::TakeReport() -> std::map<backend_name, server_load> {
+  auto report = std::map<backend_name, server_load>();
+  std::erase_if(views_, [this](const auto& item) {
+    return item.second.own.requests <= 0 &&
+           registry_.Find(item.first) == nullptr;
+  });
+  for (auto& [id, view] : views_) {
+    view.reported = view.own;
+    if (view.own.requests > 0) {
+      report[id] = view.own;
+    }
+  }
+  return report;
+}
+
+auto server_board::SetAllLoads(const std::map<backend_name, server_load>& loads)
+    -> void {
+  for (auto& [id, view] : views_) {
+    view.all = server_load();
+  }
+  for (const auto& [id, load] : loads) {
+    views_[id].all = load;
+  }
+}
+
+}  // namespace ebony
--- /dev/null
+++ b/entry/server_board.h
@@ -0,0 +1,109 @@
+#ifndef EBONY_ENTRY_SERVER_BOARD_H_
+#define EBONY_ENTRY_SERVER_BOARD_H_
+
+#include <functional>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "core/backend_registry.h"
+#include "core/site_config.h"
+
+namespace ebony {
+
+// Work under way: requests and the tokens that they still cost.
+struct server_load {
+  double requests = 0;
+  double tokens = 0;
+};
+
+struct server_board_options {
+  // Requests for each slot of a plain service that may be under way.
+  double plain_fill = 2.0;
+  // Requests for each batch slot of an engine that may be under way.
+  double engine_fill = 1.0;
+  int failures_to_eject = 3;
+  duration eject_min = std::chrono::milliseconds(500);
+  duration eject_max = std::chrono::seconds(8);
+  // No more than this part of the candidates is ejected at a time.
+  double max_ejected_part = 0.5;
+};
+
+struct server_query {
+  service_name service;
+  bool is_engine = false;
+  model_name model;
+  adapter_name adapter;
+  const std::set<backend_name>* avoid = nullptr;  // tried before
+};
+
+enum class server_verdict {
+  chosen,
+  busy,     // servers that could run it have no room
+  absent,   // no server holds the model or adapter
+  nowhere,  // the service has no server
+};
+
+struct server_choice {
+  server_verdict verdict = server_verdict::nowhere;
+  const backend_status* server = nullptr;
+};
+
+// Chooses a server by the work under way at it: this gateway's own, exactly,
+// and the other gateways', as of the last exchange with the coordinator.
+// Answers the load at which several servers hold the model and the batch of
+// each slows down as it fills.
+class server_board {
+  // Returns a number in [0, bound).
+  using random_source = std::function<std::uint64_t(std::uint64_t)>;
+  struct own_view {
+    server_load own;
+    server_load reported;  // of `own`, at the last exchange
+    server_load all;       // of all gateways, at the last exchange
+    int failures = 0;      // in a row
+    mono_time ejected_until;
+    duration next_ejection{0};
+    std::uint64_t missed_born = 0;  // start whose address had another server
+    bool is_missing = false;
+  };
+
+  server_board_options options_;
+  random_source random_;
+  const backend_registry& registry_;
+  std::map<backend_name, own_view> views_;
+
+  auto HoldsModel(const backend_status& status, const server_query& query) const
+      -> bool;
+  auto HasRoom(const backend_status& status, const server_query& query) -> bool;
+  auto PickLeastLoaded(const std::vector<const backend_record*>& candidates,
+                       bool is_engine) -> const backend_status*;
+  auto DropEjected(std::vector<const backend_record*>& candidates,
+                   mono_time now) -> void;
+
+ public:
+  server_board(server_board_options options,
+               const backend_registry& registry,
+               random_source random);
+
+  auto Choose(const server_query& query, mono_time now) -> server_choice;
+
+  // What this gateway does.
+  auto OnStarted(const backend_name& id, double tokens) -> void;
+  auto OnPrefilled(const backend_name& id, double tokens) -> void;
+  auto OnEnded(const backend_name& id, double tokens) -> void;
+  auto OnAnswered(const backend_name& id) -> void;
+  // Returns true when the failure ejects the server.
+  auto OnFailed(const backend_name& id, mono_time now) -> bool;
+  // Another server answered at this one's address.
+  auto OnMisdirected(const backend_name& id) -> void;
+
+  // The exchange of loads with the other gateways.
+  auto TakeReport() -> std::map<backend_name, server_load>;
+  auto SetAllLoads(const std::map<backend_name, server_load>& loads) -> void;
+  // Load of a server as this gateway believes it.
+  auto GetLoad(const backend_name& id) -> server_load;
+};
+
+}  // namespace ebony
+
+#endif  // EBONY_ENTRY_SERVER_BOARD_H_
--- /dev/null
+++ b/main/gateway_daemon.cc
@@ -0,0 +1,309 @@
+#include "main/gateway_daemon.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "codec/site_codec.h"
+#include "core/error_kind.h"
+#include "platform/control_codec.h"
+#include "platform/request_codec.h"
+
+namespace ebony {
+
+namespace {
+
+constexpr std::size_t kMaxWaiting = 256;  // requests
+constexpr duration kDrainTick = std::chrono::milliseconds(100);
+// A stream that begins later after SIGTERM may not end within the grace.
+constexpr duration kStreamsUntil = std::chrono::milliseconds(2800);
+// Callers may use an old answer of the directory for this long.
+constexpr duration kServeOn = std::chrono::milliseconds(6500);
+// Left of the grace when everything that is under way is broken off.
+constexpr duration kEndMargin = std::chrono::milliseconds(350);
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr duration kNoConfigReturn = std::chrono::milliseconds(500);
+
+auto MakeRepeatOptions(const site_settings& settings) -> repeat_share_options {
+  auto options = repeat_share_options();
+  options.ratio = settings.repeat_ratio;
+  options.slack = settings.repeat_slack;
+  options.window = settings.repeat_window;
+  return options;
+}
+
+}  // namespace
+
+gateway_daemon::gateway_daemon(site_settings settings,
+                               event_loop& loop,
+                               event_log& log,
+                               metrics& counters)
+    : settings_(std::move(settings)),
+      loop_(loop),
+      log_(log),
+      metrics_(counters),
+      random_(std::random_device()()),
+      pool_(loop),
+      registry_(backend_registry_options()),
+      board_(server_board_options(),
+             registry_,
+             [this](std::uint64_t bound) { return random_() % bound; }),
+      repeats_(MakeRepeatOptions(settings_)),
+      waiting_(kMaxWaiting),
+      run_(random_()),
+      context_(MakeContext()),
+      link_(settings_,
+            loop,
+            pool_,
+            log,
+            counters,
+            {[this] { return MakeRequest(); },
+             [this](const schema::sync_answer& answer) {
+               OnSyncAnswer(answer);
+             }}) {}
+
+auto gateway_daemon::MakeContext() -> relay_context {
+  return relay_context{
+      loop_,
+      pool_,
+      log_,
+      metrics_,
+      board_,
+      repeats_,
+      waiting_,
+      demand_,
+      [this](std::uint64_t bound) { return random_() % bound; },
+      [this] { link_.Hurry(); },
+      [this] { ScheduleRoom(); },
+      [this] {
+        return is_draining_ && loop_.get_now() - drain_began_ > kStreamsUntil;
+      },
+      0};
+}
+
+auto gateway_daemon::is_ready() const -> bool {
+  return !is_draining_ && table_ != nullptr;
+}
+
+auto gateway_daemon::MakeRequest() -> schema::sync_request {
+  auto request = schema::sync_request();
+  request.set_vm(settings_.vm.get());
+  request.set_incarnation(run_.get());
+  request.set_caller_address(settings_.caller_address.get());
+  request.set_data_centre(settings_.data_centre.get());
+  request.set_ready(is_ready());
+  request.set_have_config(
+      table_ == nullptr ? 0 : table_->get_config().number.get());
+  request.set_roster_source(roster_source_);
+  request.set_have_roster(roster_revision_);
+  for (const auto& [id, load] : board_.TakeReport()) {
+    auto* row = request.add_loads();
+    row->set_id(id.get());
+    row->set_requests(static_cast<std::uint32_t>(load.requests));
+    row->set_tokens(static_cast<std::uint64_t>(load.tokens));
+  }
+  for (const auto& [key, count] : demand_) {
+    auto* row = request.add_demands();
+    row->set_service(std::get<service_name>(key).get());
+    row->set_model(std::get<model_name>(key).get());
+    row->set_adapter(std::get<adapter_name>(key).get());
+    row->set_arrived(count.arrived);
+    row->set_refused(count.missed);
+  }
+  demand_.clear();
+  return request;
+}
+
+auto gateway_daemon::TakeConfig(const schema::sync_answer& answer) -> void {
+  if (answer.config().empty()) {
+    return;
+  }
+  const auto current =
+      table_ == nullptr ? config_number() : table_->get_config().number;
+  if (answer.config_number() <= current.get()) {
+    return;
+  }
+  try {
+    table_ = std::make_shared<const route_table>(
+        platform::DecodeConfig(answer.config()));
+    log_.Write(line_weight::state, "config_applied",
+               {{"number", static_cast<std::int64_t>(answer.config_number())},
+                {"former", static_cast<std::int64_t>(current.get())},
+                {"routes", static_cast<std::int64_t>(
+                               table_->get_config().routes.size())}});
+  } catch (const ebony_error& error) {
+    log_.Write(line_weight::state, "config_unreadable",
+               {{"error", error.what()}});
+  }
+}
+
+auto gateway_daemon::TakeRoster(const schema::sync_answer& answer) -> void {
+  const auto now = loop_.get_now();
+  if (answer.roster_source() != roster_source_) {
+    log_.Write(
+        line_weight::state, "roster_source",
+        {{"source", answer.roster_source()}, {"former", roster_source_}});
+    roster_source_ = answer.roster_source();
+    // The new leader hears servers only from now on.
+    registry_.Refresh(now);
+  }
+  roster_revision_ = answer.roster_revision();
+  for (const auto& row : answer.backends()) {
+    const auto record = ToDomain(row, now);
+    if (registry_.Merge(record, now)) {
+      log_.Write(line_weight::state, "backend_known",
+                 {{"backend", row.id()},
+                  {"address", row.address()},
+                  {"leaving", row.leaving() ? "yes" : "no"},
+                  {"gone", row.gone() ? "yes" : "no"},
+                  {"suspected", row.suspected() ? "yes" : "no"},
+                  {"sequence", static_cast<std::int64_t>(row.sequence())},
+                  {"age_ms", static_cast<std::int64_t>(row.silent_ms())}});
+      if (record.is_gone) {
+        pool_.Forget(record.status.address);
+      }
+    }
+  }
+}
+
+auto gateway_daemon::OnSyncAnswer(const schema::sync_answer& answer) -> void {
+  TakeConfig(answer);
+  TakeRoster(answer);
+  auto loads = std::map<backend_name, server_load>();
+  for (const auto& row : answer.loads()) {
+    loads[backend_name(row.id())] = {static_cast<double>(row.requests()),
+                                     static_cast<double>(row.tokens())};
+  }
+  board_.SetAllLoads(loads);
+  repeats_.SetGateways(static_cast<std::size_t>(answer.gateways_size()));
+  RunWaiting();
+}
+
+auto gateway_daemon::RefuseCall(const caller_terms& terms,
+                                error_kind kind,
+                                int status,
+                                const answer_pointer& answer) -> void {
+  const auto return_time =
+      status == kUnavailable ? kNoConfigReturn : duration(0);
+  answer->Respond(platform::MakeOwnHead(status, terms.id, return_time), {});
+  metrics_.Count(std::string("ebony_refused_total{kind=\"") +
+                 GetErrorAnswer(kind).code.data() + "\"}");
+  log_.Write(line_weight::request, "refused",
+             {{"request", terms.id.get()},
+              {"host", terms.host},
+              {"path", terms.path},
+              {"kind", GetErrorAnswer(kind).code.data()},
+              {"config",
+               static_cast<std::int64_t>(
+                   table_ == nullptr ? 0 : table_->get_config().number.get())},
+              {"status", static_cast<std::int64_t>(status)}});
+}
+
+auto gateway_daemon::OnCall(http_call_in call, const answer_pointer& answer)
+    -> void {
+  auto terms = platform::DecodeCallerRequest(call.head);
+  if (table_ == nullptr) {
+    RefuseCall(terms, error_kind::not_current, kUnavailable, answer);
+    return;
+  }
+  const auto* rule = table_->Match(terms.host, terms.path);
+  if (rule == nullptr) {
+    RefuseCall(terms, error_kind::not_found, kNotFound, answer);
+    return;
+  }
+  const auto& service = table_->PickService(
+      *rule, [this](std::uint64_t bound) { return random_() % bound; });
+  const auto session = std::make_shared<relay_session>(
+      context_, table_, *rule, service, std::move(call), std::move(terms),
+      answer);
+  std::erase_if(sessions_, [](const auto& item) { return item.expired(); });
+  sessions_.insert(session);
+  session->Start();
+}
+
+// Runs the waiting requests once after a round of events, not after each.
+auto gateway_daemon::ScheduleRoom() -> void {
+  if (room_is_due_ || waiting_.get_size() == 0) {
+    return;
+  }
+  room_is_due_ = true;
+  loop_.AddTimerIn(duration(0), [this] {
+    room_is_due_ = false;
+    RunWaiting();
+  });
+}
+
+auto gateway_daemon::RunWaiting() -> void {
+  waiting_.ForEach(
+      [](const std::shared_ptr<relay_session>& session) { session->Retry(); });
+}
+
+auto gateway_daemon::Start() -> void {
+  auto options = http_listener::options();
+  options.get_limits = [this] {
+    auto limits = connection_limits();
+    if (table_ != nullptr) {
+      const auto& wanted = table_->get_config().limits;
+      limits.head_bytes = wanted.head_bytes;
+      limits.body_bytes = wanted.body_bytes;
+      limits.head_time = wanted.head_time;
+      limits.idle_time = wanted.idle_time;
+    }
+    return limits;
+  };
+  options.is_closing = [this] { return is_draining_; };
+  callers_ = std::make_unique<http_listener>(
+      loop_, settings_.caller_address, options,
+      [this](http_call_in call, const answer_pointer& answer) {
+        OnCall(std::move(call), answer);
+      });
+  auto plain = http_listener::options();
+  plain.get_limits = [] { return connection_limits(); };
+  plain.is_closing = [] { return false; };
+  readiness_ = std::make_unique<http_listener>(
+      loop_, settings_.readiness_address, plain,
+      [this](const http_call_in& call, const answer_pointer& answer) {
+        auto head = http_head();
+        const auto known = platform::IsReadinessCall(call.head);
+        head.status = !known ? kNotFound : is_ready() ? kOk : kUnavailable;
+        answer->Respond(std::move(head), {});
+      });
+  link_.Start();
+}
+
+auto gateway_daemon::Drain() -> void {
+  if (is_draining_) {
+    return;
+  }
+  is_draining_ = true;
+  drain_began_ = loop_.get_now();
+  log_.Write(line_weight::state, "draining",
+             {{"active", static_cast<std::int64_t>(context_.active)}});
+  link_.Hurry();
+  RepeatEvery(loop_, kDrainTick, [this] { TickDrain(); });
+}
+
+auto gateway_daemon::TickDrain() -> void {
+  const auto elapsed = loop_.get_now() - drain_began_;
+  const auto is_idle = elapsed >= kServeOn && context_.active == 0;
+  const auto is_over = elapsed >= settings_.stop_grace - kEndMargin;
+  if (is_drained_ || (!is_idle && !is_over)) {
+    return;
+  }
+  callers_->StopAccepting();
+  const auto sessions = sessions_;
+  for (const auto& item : sessions) {
+    if (const auto session = item.lock()) {
+      session->Stop();
+    }
+  }
+  callers_->CloseIdle();
+  is_drained_ = true;
+}
+
+auto gateway_daemon::Reload(const site_settings& settings) -> void {
+  link_.AddSeeds(settings.seeds);
+}
+
+}  // namespace ebony
--- /dev/null
+++ b/main/gateway_daemon.h
@@ -0,0 +1,87 @@
+#ifndef EBONY_MAIN_GATEWAY_DAEMON_H_
+#define EBONY_MAIN_GATEWAY_DAEMON_H_
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+#include "core/backend_registry.h"
+#include "core/metrics.h"
+#include "core/site_settings.h"
+#include "drivers/event_log.h"
+#include "drivers/event_loop.h"
+#include "drivers/http_listener.h"
+#include "drivers/http_pool.h"
+#include "entry/repeat_share.h"
+#include "entry/route_table.h"
+#include "entry/server_board.h"
+#include "entry/wait_list.h"
+#include "main/gateway_link.h"
+#include "main/relay_session.h"
+
+namespace ebony {
+
+// A gateway: callers connect to it, and it relays their requests to backend
+// servers. One thread carries requests from end to end; logs have their own.
+class gateway_daemon {
+  site_settings settings_;
+  event_loop& loop_;
+  event_log& log_;
+  metrics& metrics_;
+  std::mt19937_64 random_;
+  http_pool pool_;
+  backend_registry registry_;
+  server_board board_;
+  repeat_share repeats_;
+  wait_list<relay_session> waiting_;
+  std::map<demand_key, demand_count> demand_;
+  route_table_pointer table_;
+  std::string roster_source_;
+  std::uint64_t roster_revision_ = 0;
+  incarnation run_;
+  relay_context context_;
+  gateway_link link_;
+  std::set<std::weak_ptr<relay_session>,
+           std::owner_less<std::weak_ptr<relay_session>>>
+      sessions_;
+  bool room_is_due_ = false;
+  bool is_draining_ = false;
+  mono_time drain_began_;
+  bool is_drained_ = false;
+  std::unique_ptr<http_listener> callers_;
+  std::unique_ptr<http_listener> readiness_;
+
+  auto MakeContext() -> relay_context;
+  auto MakeRequest() -> schema::sync_request;
+  auto OnSyncAnswer(const schema::sync_answer& answer) -> void;
+  auto TakeConfig(const schema::sync_answer& answer) -> void;
+  auto TakeRoster(const schema::sync_answer& answer) -> void;
+  auto OnCall(http_call_in call, const answer_pointer& answer) -> void;
+  auto RefuseCall(const caller_terms& terms,
+                  error_kind kind,
+                  int status,
+                  const answer_pointer& answer) -> void;
+  auto ScheduleRoom() -> void;
+  auto RunWaiting() -> void;
+  auto TickDrain() -> void;
+  auto is_ready() const -> bool;
+
+ public:
+  gateway_daemon(site_settings settings,
+                 event_loop& loop,
+                 event_log& log,
+                 metrics& counters);
+
+  auto Start() -> void;
+  // Begins a planned stop: not ready at once, serves on while callers may
+  // still hold its address, finishes what is under way.
+  auto Drain() -> void;
+  auto Reload(const site_settings& settings) -> void;
+  auto is_drained() const -> bool { return is_drained_; }
+};
+
+}  // namespace ebony
+
+#endif  // EBONY_MAIN_GATEWAY_DAEMON_H_
--- /dev/null
+++ b/main/programs/ebony_gateway.cc
@@ -0,0 +1,29 @@
+// ebony_gateway: the daemon that callers of a site connect to.
+
+#include "drivers/daemon_runner.h"
+#include "main/gateway_daemon.h"
+#include "main/site_program.h"
+
+namespace {
+
+auto MakeHooks(const ebony::site_program_parts& parts)
+    -> ebony::site_daemon_hooks {
+  const auto daemon = std::make_shared<ebony::gateway_daemon>(
+      parts.settings, parts.loop, parts.log, parts.counters);
+  auto hooks = ebony::site_daemon_hooks();
+  hooks.start = [daemon] { daemon->Start(); };
+  hooks.stop = [daemon] { daemon->Drain(); };
+  hooks.reload = [daemon](const ebony::site_settings& settings) {
+    daemon->Reload(settings);
+  };
+  hooks.is_done = [daemon] { return daemon->is_drained(); };
+  return hooks;
+}
+
+}  // namespace
+
+auto main(int argc, const char** argv) -> int {
+  return ebony::RunProgram([argc, argv] {
+    return ebony::RunSiteProgram(argc, argv, "ebony_gateway", MakeHooks);
+  });
+}
--- /dev/null
+++ b/main/relay_session.cc
@@ -0,0 +1,535 @@
+#include "main/relay_session.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "platform/request_codec.h"
+
+namespace ebony {
+
+namespace {
+
+// Bytes that a caller may leave unread before its stream is ended.
+constexpr std::size_t kMaxUnread = 1024 * 1024;
+// A kept connection may be used for what must not run twice only this long,
+// since a server can close it without a word.
+constexpr duration kSafeIdle = std::chrono::milliseconds(300);
+constexpr duration kAnyIdle = std::chrono::seconds(4);
+constexpr duration kConnectTime = std::chrono::milliseconds(400);
+// Part of the objective that a request may wait for room.
+constexpr double kBusyWaitPart = 0.5;
+constexpr duration kAdapterWait = std::chrono::milliseconds(500);
+constexpr duration kModelReturn = std::chrono::milliseconds(2500);
+// An idempotent request goes elsewhere after this many objectives.
+constexpr int kStallObjectives = 3;
+constexpr duration kShortestStall = std::chrono::milliseconds(250);
+// A resumable stream goes on elsewhere after this many longest pauses.
+constexpr int kStallGaps = 5;
+constexpr int kOk = 200;
+constexpr int kFirstError = 300;
+
+}  // namespace
+
+relay_session::relay_session(relay_context& context,
+                             route_table_pointer table,
+                             const route_rule& rule,
+                             const service_spec& service,
+                             http_call_in call,
+                             caller_terms terms,
+                             answer_pointer answer)
+    : context_(context),
+      table_(std::move(table)),
+      rule_(rule),
+      service_(service),
+      call_(std::move(call)),
+      answer_(std::move(answer)),
+      terms_(std::move(terms)) {
+  const auto limit =
+      std::min(rule_.time_limit, terms_.deadline.value_or(rule_.time_limit));
+  deadline_ = call_.began + limit;
+}
+
+auto relay_session::Start() -> void {
+  ++context_.active;
+  const auto self = shared_from_this();
+  answer_->SetOnGone([self] { self->OnCallerGone(); });
+  deadline_timer_ =
+      context_.loop.AddTimer(deadline_, [self] { self->OnDeadline(); });
+  context_.repeats.OnRequest(service_.name, context_.loop.get_now());
+  if (IsEngine()) {
+    ++context_.demand[{service_.name, terms_.model, terms_.adapter}].arrived;
+  }
+  if (rule_.is_stream && context_.refuses_streams()) {
+    Refuse(error_kind::draining, std::chrono::milliseconds(100));
+    return;
+  }
+  TryDispatch();
+}
+
+auto relay_session::GetTimeLeft() const -> duration {
+  return deadline_ - context_.loop.get_now();
+}
+
+auto relay_session::TryDispatch() -> void {
+  auto query = server_query();
+  query.service = service_.name;
+  query.is_engine = IsEngine();
+  query.model = terms_.model;
+  query.adapter = terms_.adapter;
+  query.avoid = &tried_;
+  const auto choice = context_.board.Choose(query, context_.loop.get_now());
+  if (choice.verdict == server_verdict::chosen) {
+    StopWaiting();
+    Dispatch(*choice.server);
+    return;
+  }
+  wait_reason_ = choice.verdict;
+  if (!place_) {
+    Wait(choice.verdict);
+  }
+}
+
+auto relay_session::GetWaitLimit(server_verdict reason) const -> duration {
+  if (reason == server_verdict::busy) {
+    return duration(static_cast<duration::rep>(
+        kBusyWaitPart * static_cast<double>(rule_.objective.count())));
+  }
+  const auto is_adapter = IsEngine() && !terms_.adapter.get().empty();
+  return reason == server_verdict::absent && is_adapter ? kAdapterWait
+                                                        : duration(0);
+}
+
+auto relay_session::Wait(server_verdict reason) -> void {
+  const auto is_first_try = tried_.empty();
+  if (reason == server_verdict::absent && IsEngine() && is_first_try) {
+    ++context_.demand[{service_.name, terms_.model, terms_.adapter}].missed;
+    context_.on_missing();
+  }
+  // Once it was tried, a request that finds no other server is not kept.
+  const auto limit = is_first_try || reason == server_verdict::busy
+                         ? std::min(GetWaitLimit(reason), GetTimeLeft())
+                         : duration(0);
+  const auto refuse_absent = reason != server_verdict::busy;
+  if (limit <= duration(0)) {
+    Refuse(refuse_absent ? error_kind::no_backend : error_kind::overloaded,
+           refuse_absent && IsEngine() ? kModelReturn : duration(0));
+    return;
+  }
+  const auto now = context_.loop.get_now();
+  auto displaced = std::shared_ptr<relay_session>();
+  place_ = context_.waiting.Add(rule_.rank, now + limit, shared_from_this(),
+                                displaced);
+  if (displaced != nullptr) {
+    displaced->Displace();
+  }
+  if (!place_) {
+    Refuse(error_kind::overloaded, duration(0));
+    return;
+  }
+  wait_timer_ = context_.loop.AddTimerIn(limit, [self = shared_from_this()] {
+    self->StopWaiting();
+    self->Refuse(self->wait_reason_ == server_verdict::busy
+                     ? error_kind::overloaded
+                     : error_kind::no_backend,
+                 duration(0));
+  });
+}
+
+auto relay_session::StopWaiting() -> void {
+  context_.loop.CancelTimer(wait_timer_);
+  if (place_) {
+    context_.waiting.Remove(*place_);
+    place_.reset();
+  }
+}
+
+auto relay_session::Retry() -> void {
+  if (!is_done_ && place_) {
+    TryDispatch();
+  }
+}
+
+auto relay_session::Displace() -> void {
+  place_.reset();  // taken off the list already
+  context_.loop.CancelTimer(wait_timer_);
+  Refuse(error_kind::overloaded, duration(0));
+}
+
+auto relay_session::Dispatch(const backend_status& server) -> void {
+  const auto now = context_.loop.get_now();
+  ++attempts_;
+  server_ = server.id;
+  tried_.insert(server.id);
+  sent_ = now;
+  head_ = http_head();
+  server_answer_ = server_answer();
+  body_.clear();
+  reader_.Reset();
+  prefill_tokens_ = static_cast<double>(terms_.prompt_tokens);
+  context_.board.OnStarted(server_, prefill_tokens_);
+
+  auto terms = platform::forward_terms();
+  terms.instance = server.id;
+  terms.time_left = GetTimeLeft();
+  if (IsEngine()) {
+    terms.priority = std::clamp(rule_.rank, 0, 9);
+  }
+  if (!last_event_.empty()) {
+    terms.resume_after = last_event_;
+  }
+  const auto head =
+      platform::MakeForwardedHead(call_.head, terms, call_.body.size());
+  auto options = call_options();
+  options.connect_time = kConnectTime;
+  options.max_idle =
+      rule_.repeat == repeat_rule::idempotent ? kAnyIdle : kSafeIdle;
+  context_.log.Write(line_weight::request, "sent",
+                     {{"request", terms_.id.get()},
+                      {"route", rule_.name.get()},
+                      {"model", terms_.model.get()},
+                      {"backend", server_.get()},
+                      {"attempt", static_cast<std::int64_t>(attempts_)},
+                      {"load", static_cast<std::int64_t>(
+                                   context_.board.GetLoad(server_).requests)},
+                      {"left_ms", terms.time_left}});
+  attempt_ = context_.pool.Start(
+      server.address, RenderRequestHead(head).append(call_.body),
+      call_.head.method == "HEAD", options, MakeHooks());
+  ArmStall();
+}
+
+auto relay_session::MakeHooks() -> call_hooks {
+  const auto self = shared_from_this();
+  auto hooks = call_hooks();
+  hooks.on_head = [self](const http_head& head) { return self->OnHead(head); };
+  hooks.on_body = [self](std::string_view bytes) { self->OnBody(bytes); };
+  hooks.on_whole = [self] { self->OnWhole(); };
+  hooks.on_failed = [self](call_failure failure) {
+    switch (failure) {
+      case call_failure::not_sent:
+        self->OnAttemptEnd(relay_end::not_sent);
+        break;
+      case call_failure::cut:
+        self->OnAttemptEnd(relay_end::cut);
+        break;
+      case call_failure::garbled:
+        self->OnAttemptEnd(relay_end::spoiled);
+        break;
+    }
+  };
+  return hooks;
+}
+
+auto relay_session::OnHead(const http_head& head) -> bool {
+  const auto decoded = platform::DecodeServerAnswer(head);
+  if (decoded.echoed_id != caller_request_id() &&
+      decoded.echoed_id != terms_.id) {
+    context_.counters.Count("ebony_foreign_answers_total");
+    return false;
+  }
+  head_ = head;
+  server_answer_ = decoded;
+  is_streaming_ = rule_.is_stream && head.status == kOk && decoded.is_sealed &&
+                  !decoded.is_encoded;
+  return true;
+}
+
+auto relay_session::OnBody(std::string_view bytes) -> void {
+  if (!is_streaming_) {
+    body_.append(bytes);
+    return;
+  }
+  if (prefill_tokens_ > 0) {
+    context_.board.OnPrefilled(server_, prefill_tokens_);
+    prefill_tokens_ = 0;
+  }
+  ArmStall();
+  ShowEvents(bytes);
+}
+
+auto relay_session::ShowEvents(std::string_view bytes) -> void {
+  if (!answer_->has_begun()) {
+    answer_->Begin(platform::MakeCallerHead(head_));
+    context_.counters.Observe(
+        "ebony_first_event_seconds",
+        std::chrono::duration<double>(context_.loop.get_now() - call_.began)
+            .count());
+  }
+  if (rule_.repeat != repeat_rule::resumable) {
+    answer_->Append(bytes);
+  } else {
+    // Only whole events are shown, so that another server can go on.
+    auto whole = std::string();
+    reader_.Feed(bytes, [&](const sse_event& event) {
+      whole.append(event.raw);
+      if (event.id > 0) {
+        last_event_ = std::to_string(event.id);
+      }
+    });
+    answer_->Append(whole);
+  }
+  if (answer_->GetUnsentBytes() > kMaxUnread) {
+    attempt_->Cancel();
+    ReleaseServer();
+    BreakOff("caller_does_not_read");
+  }
+}
+
+auto relay_session::OnWhole() -> void {
+  if (server_answer_.not_run) {
+    OnAttemptEnd(relay_end::not_run);
+    return;
+  }
+  const auto is_success = server_answer_.status < kFirstError;
+  if (is_success && (!server_answer_.is_sealed || server_answer_.is_encoded)) {
+    OnAttemptEnd(relay_end::spoiled);
+    return;
+  }
+  OnAttemptEnd(relay_end::whole);
+}
+
+auto relay_session::ReleaseServer() -> void {
+  context_.loop.CancelTimer(stall_timer_);
+  if (attempt_ == nullptr) {
+    return;
+  }
+  attempt_ = nullptr;
+  context_.board.OnEnded(server_, prefill_tokens_);
+  prefill_tokens_ = 0;
+}
+
+auto relay_session::OnAttemptEnd(relay_end end) -> void {
+  if (is_done_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  const auto now = context_.loop.get_now();
+  ReleaseServer();
+  auto facts = relay_facts();
+  facts.end = end;
+  facts.answer = server_answer_;
+  facts.repeat = rule_.repeat;
+  facts.attempts = attempts_;
+  facts.max_attempts = rule_.max_attempts;
+  facts.has_run_maybe = has_run_maybe_;
+  facts.has_shown_events = answer_->has_begun();
+  const auto is_misdirected = end == relay_end::not_run &&
+                              server_answer_.instance != backend_name() &&
+                              server_answer_.instance != server_;
+  if (is_misdirected) {
+    context_.board.OnMisdirected(server_);
+  } else if (end == relay_end::whole && server_answer_.status < 500) {
+    context_.board.OnAnswered(server_);
+  } else if (end != relay_end::not_run &&
+             context_.board.OnFailed(server_, now)) {
+    context_.counters.Count("ebony_ejections_total");
+    context_.log.Write(
+        line_weight::state, "backend_ejected",
+        {{"backend", server_.get()}, {"request", terms_.id.get()}});
+  }
+  auto step = end == relay_end::whole && is_streaming_ ? relay_step::deliver
+                                                       : DecideRelay(facts);
+  if (step == relay_step::again &&
+      (GetTimeLeft() <= duration(0) ||
+       !context_.repeats.TryTake(service_.name, now))) {
+    step = GetFallback(facts);
+  }
+  has_run_maybe_ = has_run_maybe_ ||
+                   (end != relay_end::not_sent && end != relay_end::not_run);
+  if (step != relay_step::deliver) {
+    context_.log.Write(
+        line_weight::request, "attempt_ended",
+        {{"request", terms_.id.get()},
+         {"backend", server_.get()},
+         {"end", static_cast<std::int64_t>(end)},
+         {"status", static_cast<std::int64_t>(server_answer_.status)},
+         {"took_ms", duration(now - sent_)},
+         {"next", static_cast<std::int64_t>(step)}});
+  }
+  context_.on_room();
+  switch (step) {
+    case relay_step::deliver:
+      Deliver();
+      break;
+    case relay_step::again:
+      if (end == relay_end::whole) {
+        // The server's own failure is better than none of ours.
+        spare_ = http_answer_copy{head_, std::move(body_)};
+      }
+      TryDispatch();
+      break;
+    case relay_step::refuse:
+      Refuse(end == relay_end::not_sent ? error_kind::backend_unreachable
+                                        : error_kind::overloaded,
+             duration(0));
+      break;
+    case relay_step::fail:
+      Fail(error_kind::backend_failed);
+      break;
+    case relay_step::break_off:
+      BreakOff("stream_cut");
+      break;
+  }
+}
+
+auto relay_session::GetStallLimit() const -> duration {
+  const auto has_attempts = attempts_ < rule_.max_attempts;
+  if (!has_attempts) {
+    return duration(0);
+  }
+  if (rule_.repeat == repeat_rule::idempotent) {
+    return std::max(kShortestStall, rule_.objective * kStallObjectives);
+  }
+  if (rule_.repeat == repeat_rule::resumable && answer_->has_begun()) {
+    return rule_.event_gap * kStallGaps;
+  }
+  return duration(0);
+}
+
+auto relay_session::ArmStall() -> void {
+  context_.loop.CancelTimer(stall_timer_);
+  const auto limit = GetStallLimit();
+  if (limit <= duration(0)) {
+    return;
+  }
+  stall_timer_ = context_.loop.AddTimerIn(limit, [self = shared_from_this()] {
+    if (self->attempt_ != nullptr) {
+      self->attempt_->Cancel();
+      self->OnAttemptEnd(relay_end::stalled);
+    }
+  });
+}
+
+auto relay_session::OnDeadline() -> void {
+  if (is_done_) {
+    return;
+  }
+  if (attempt_ == nullptr) {
+    StopWaiting();
+    if (has_run_maybe_) {
+      Fail(error_kind::deadline_exceeded);
+    } else {
+      Refuse(error_kind::deadline_unreachable, duration(0));
+    }
+    return;
+  }
+  attempt_->Cancel();
+  ReleaseServer();
+  context_.on_room();
+  if (answer_->has_begun()) {
+    BreakOff("deadline");
+  } else {
+    Fail(error_kind::deadline_exceeded);
+  }
+}
+
+auto relay_session::OnCallerGone() -> void {
+  if (is_done_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  StopWaiting();
+  if (attempt_ != nullptr) {
+    attempt_->Cancel();
+    ReleaseServer();
+    context_.on_room();
+  }
+  Finish("caller_gone", 0);
+}
+
+auto relay_session::Stop() -> void {
+  if (is_done_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  StopWaiting();
+  if (attempt_ == nullptr) {
+    Refuse(error_kind::draining, duration(0));
+    return;
+  }
+  attempt_->Cancel();
+  ReleaseServer();
+  if (answer_->has_begun()) {
+    BreakOff("stopping");
+  } else {
+    Fail(error_kind::draining);
+  }
+}
+
+auto relay_session::Deliver() -> void {
+  if (is_streaming_) {
+    if (!answer_->has_begun()) {
+      answer_->Begin(platform::MakeCallerHead(head_));
+    }
+    answer_->Finish();
+  } else {
+    answer_->Respond(platform::MakeCallerHead(head_), body_);
+  }
+  Finish("delivered", head_.status);
+}
+
+// Only for what has not run and will not.
+auto relay_session::Refuse(error_kind kind, duration expected_wait) -> void {
+  constexpr int kUnavailable = 503;
+  if (has_run_maybe_ || spare_) {
+    Fail(kind);
+    return;
+  }
+  constexpr std::uint64_t kDrawSteps = 1000;
+  auto facts = return_facts();
+  facts.kind = kind;
+  facts.time_left = GetTimeLeft();
+  facts.expected_wait = expected_wait;
+  facts.draw = static_cast<double>(context_.random(kDrawSteps)) / kDrawSteps;
+  answer_->Respond(
+      platform::MakeOwnHead(kUnavailable, terms_.id, GetReturnTime(facts)), {});
+  Finish(GetErrorAnswer(kind).code.data(), kUnavailable);
+}
+
+// For what has run, or may have.
+auto relay_session::Fail(error_kind kind) -> void {
+  constexpr int kBadGateway = 502;
+  constexpr int kGatewayTimeout = 504;
+  if (spare_) {
+    answer_->Respond(platform::MakeCallerHead(spare_->head), spare_->body);
+    Finish("delivered_failure", spare_->head.status);
+    return;
+  }
+  const auto status =
+      kind == error_kind::deadline_exceeded ? kGatewayTimeout : kBadGateway;
+  answer_->Respond(platform::MakeOwnHead(status, terms_.id, duration(0)), {});
+  Finish(GetErrorAnswer(kind).code.data(), status);
+}
+
+auto relay_session::BreakOff(const char* why) -> void {
+  answer_->Abort();
+  Finish(why, 0);
+}
+
+auto relay_session::Finish(const char* outcome, int status) -> void {
+  if (is_done_) {
+    return;
+  }
+  is_done_ = true;
+  --context_.active;
+  context_.loop.CancelTimer(deadline_timer_);
+  context_.loop.CancelTimer(wait_timer_);
+  context_.loop.CancelTimer(stall_timer_);
+  const auto took = context_.loop.get_now() - call_.began;
+  context_.counters.Count(std::string("ebony_relayed_total{outcome=\"") +
+                          outcome + "\"}");
+  context_.counters.Observe("ebony_relay_seconds",
+                            std::chrono::duration<double>(took).count());
+  context_.log.Write(
+      line_weight::request, "answered",
+      {{"request", terms_.id.get()},
+       {"route", rule_.name.get()},
+       {"outcome", outcome},
+       {"status", static_cast<std::int64_t>(status)},
+       {"backend", server_.get()},
+       {"attempts", static_cast<std::int64_t>(attempts_)},
+       {"config", static_cast<std::int64_t>(table_->get_config().number.get())},
+       {"took_ms", duration(took)}});
+}
+
+}  // namespace ebony
--- /dev/null
+++ b/main/relay_session.h
@@ -0,0 +1,144 @@
+#ifndef EBONY_MAIN_RELAY_SESSION_H_
+#define EBONY_MAIN_RELAY_SESSION_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "core/caller_terms.h"
+#include "core/error_kind.h"
+#include "core/metrics.h"
+#include "drivers/event_log.h"
+#include "drivers/event_loop.h"
+#include "drivers/http_listener.h"
+#include "drivers/http_pool.h"
+#include "entry/relay_rules.h"
+#include "entry/repeat_share.h"
+#include "entry/route_table.h"
+#include "entry/server_board.h"
+#include "entry/sse_reader.h"
+#include "entry/wait_list.h"
+
+namespace ebony {
+
+class relay_session;
+
+// Requests of a model or adapter since the last sync.
+struct demand_count {
+  std::uint32_t arrived = 0;
+  std::uint32_t missed = 0;  // found no server that holds it
+};
+using demand_key = std::tuple<service_name, model_name, adapter_name>;
+
+// What the sessions of one gateway share.
+struct relay_context {
+  event_loop& loop;
+  http_pool& pool;
+  event_log& log;
+  metrics& counters;
+  server_board& board;
+  repeat_share& repeats;
+  wait_list<relay_session>& waiting;
+  std::map<demand_key, demand_count>& demand;
+  // Returns a number in [0, bound).
+  std::function<std::uint64_t(std::uint64_t)> random;
+  // A model or adapter is missing: tells the coordinator soon.
+  std::function<void()> on_missing;
+  // Room may have come free.
+  std::function<void()> on_room;
+  // True when this gateway takes no new long requests.
+  std::function<bool()> refuses_streams;
+  std::size_t active = 0;  // sessions without a final answer
+};
+
+// One caller's request from its arrival to its final answer. It keeps itself
+// alive through the calls and timers that it waits for.
+class relay_session : public std::enable_shared_from_this<relay_session> {
+  relay_context& context_;
+  route_table_pointer table_;
+  const route_rule& rule_;
+  const service_spec& service_;
+  http_call_in call_;
+  answer_pointer answer_;
+  caller_terms terms_;
+  mono_time deadline_;
+  timer_id deadline_timer_;
+  bool is_done_ = false;
+
+  // Waiting.
+  std::optional<wait_place> place_;
+  timer_id wait_timer_;
+  server_verdict wait_reason_ = server_verdict::busy;
+
+  // The attempt under way.
+  int attempts_ = 0;
+  std::set<backend_name> tried_;
+  bool has_run_maybe_ = false;
+  std::unique_ptr<http_call> attempt_;
+  timer_id stall_timer_;
+  backend_name server_;
+  mono_time sent_;
+  double prefill_tokens_ = 0;  // counted at the server until its first event
+  http_head head_;
+  server_answer server_answer_;
+  bool is_streaming_ = false;
+  std::string body_;
+  // A server's failure, delivered when no other attempt does better.
+  struct http_answer_copy {
+    http_head head;
+    std::string body;
+  };
+  std::optional<http_answer_copy> spare_;
+
+  // A stream that is being shown.
+  sse_reader reader_;
+  std::string last_event_;  // id of the newest event that the caller has
+
+  auto IsEngine() const -> bool { return service_.engine.has_value(); }
+  auto GetTimeLeft() const -> duration;
+  auto TryDispatch() -> void;
+  auto Wait(server_verdict reason) -> void;
+  auto GetWaitLimit(server_verdict reason) const -> duration;
+  auto StopWaiting() -> void;
+  auto Dispatch(const backend_status& server) -> void;
+  auto MakeHooks() -> call_hooks;
+  auto OnHead(const http_head& head) -> bool;
+  auto OnBody(std::string_view bytes) -> void;
+  auto ShowEvents(std::string_view bytes) -> void;
+  auto OnWhole() -> void;
+  auto OnAttemptEnd(relay_end end) -> void;
+  auto ReleaseServer() -> void;
+  auto ArmStall() -> void;
+  auto GetStallLimit() const -> duration;
+  auto OnDeadline() -> void;
+  auto OnCallerGone() -> void;
+  auto Deliver() -> void;
+  auto Refuse(error_kind kind, duration expected_wait) -> void;
+  auto Fail(error_kind kind) -> void;
+  auto BreakOff(const char* why) -> void;
+  auto Finish(const char* outcome, int status) -> void;
+
+ public:
+  relay_session(relay_context& context,
+                route_table_pointer table,
+                const route_rule& rule,
+                const service_spec& service,
+                http_call_in call,
+                caller_terms terms,
+                answer_pointer answer);
+
+  auto Start() -> void;
+  // Room may have come free, or a model may have arrived.
+  auto Retry() -> void;
+  // Makes way for a more urgent request.
+  auto Displace() -> void;
+  // The gateway ends: whatever is under way is broken off.
+  auto Stop() -> void;
+};
+
+}  // namespace ebony
+
+#endif  // EBONY_MAIN_RELAY_SESSION_H_
--- /dev/null
+++ b/main/site_paths.h
@@ -0,0 +1,14 @@
+#ifndef EBONY_MAIN_SITE_PATHS_H_
+#define EBONY_MAIN_SITE_PATHS_H_
+
+namespace ebony {
+
+// Paths of the posts between gateways and coordinators.
+constexpr const char* kRaftPath = "/v1/raft";
+constexpr const char* kJoinPath = "/v1/join";
+constexpr const char* kSyncPath = "/v1/sync";
+constexpr const char* kAnnouncePath = "/v1/announce";
+
+}  // namespace ebony
+
+#endif  // EBONY_MAIN_SITE_PATHS_H_
