--- a/drivers/event_loop.cc
+++ b/drivers/event_loop.cc
@@ -38,6 +38,10 @@
 }
 
 event_loop::~event_loop() {
+  // Hooks may own sockets that call back here as they go.
+  const auto watches = std::exchange(watches_, {});
+  const auto timers = std::exchange(timers_, {});
+  timer_times_.clear();
   ::close(epoll_fd_);
 }
 
--- a/drivers/stream_socket.cc
+++ b/drivers/stream_socket.cc
@@ -222,6 +222,15 @@
   ::close(fd);
 }
 
+auto stream_socket::Reset() -> void {
+  if (fd_ >= 0) {
+    const auto now = linger{1, 0};
+    static_cast<void>(
+        ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof(now)));
+  }
+  Close();
+}
+
 stream_acceptor::stream_acceptor(event_loop& loop,
                                  const host_port& address,
                                  std::function<void(int)> on_accept)
@@ -268,4 +277,13 @@
   ::close(fd);
 }
 
+auto stream_acceptor::GetPort() const -> std::uint16_t {
+  auto bound = sockaddr_in();
+  auto size = static_cast<socklen_t>(sizeof(bound));
+  if (::getsockname(fd_, reinterpret_cast<sockaddr*>(&bound), &size) != 0) {
+    return 0;
+  }
+  return ntohs(bound.sin_port);
+}
+
 }  // namespace ebony
--- a/drivers/stream_socket.h
+++ b/drivers/stream_socket.h
@@ -63,6 +63,8 @@
   auto CloseGracefully() -> void;
   // Closes at once; no hook is called any more.
   auto Close() -> void;
+  // Closes at once with a reset.
+  auto Reset() -> void;
 
   auto get_sent_bytes() const -> std::uint64_t { return sent_bytes_; }
   auto get_unsent_bytes() const -> std::size_t { return unsent_.size(); }
@@ -84,6 +86,8 @@
   auto operator=(const stream_acceptor&) -> stream_acceptor& = delete;
 
   auto Stop() -> void;
+  // The port that it listens on, also when it was given port 0.
+  auto GetPort() const -> std::uint16_t;
 };
 
 }  // namespace ebony
--- a/entry/repeat_share.cc
+++ b/entry/repeat_share.cc
@@ -33,8 +33,8 @@
   GetSlice(service, now).requests += 1;
 }
 
-auto repeat_share::TryTake(const service_name& service, mono_time now) -> bool {
-  auto& current = GetSlice(service, now);
+auto repeat_share::HasRoom(const service_name& service, mono_time now) -> bool {
+  GetSlice(service, now);  // drops what is older than the window
   auto requests = 0.0;
   auto repeats = 0.0;
   for (const auto& item : services_[service]) {
@@ -44,10 +44,14 @@
   const auto allowed =
       options_.used_part * (options_.ratio * requests +
                             options_.slack / static_cast<double>(gateways_));
-  if (repeats + 1 > allowed) {
+  return repeats + 1 <= allowed;
+}
+
+auto repeat_share::TryTake(const service_name& service, mono_time now) -> bool {
+  if (!HasRoom(service, now)) {
     return false;
   }
-  current.repeats += 1;
+  GetSlice(service, now).repeats += 1;
   return true;
 }
 
--- a/entry/repeat_share.h
+++ b/entry/repeat_share.h
@@ -40,6 +40,7 @@
 
   auto SetGateways(std::size_t count) -> void;
   auto OnRequest(const service_name& service, mono_time now) -> void;
+  auto HasRoom(const service_name& service, mono_time now) -> bool;
   // Takes one repeat. Returns false when the share is used up.
   auto TryTake(const service_name& service, mono_time now) -> bool;
 };
--- a/main/relay_session.cc
+++ b/main/relay_session.cc
@@ -19,12 +19,14 @@
 // Part of the objective that a request may wait for room.
 constexpr double kBusyWaitPart = 0.5;
 constexpr duration kAdapterWait = std::chrono::milliseconds(500);
+// A stream that has begun waits this long for a server that goes on with it.
+constexpr duration kResumeWait = std::chrono::seconds(2);
 constexpr duration kModelReturn = std::chrono::milliseconds(2500);
 // An idempotent request goes elsewhere after this many objectives.
 constexpr int kStallObjectives = 3;
 constexpr duration kShortestStall = std::chrono::milliseconds(250);
 // A resumable stream goes on elsewhere after this many longest pauses.
-constexpr int kStallGaps = 5;
+constexpr int kStallGaps = 8;
 constexpr int kOk = 200;
 constexpr int kFirstError = 300;
 
@@ -70,14 +72,26 @@
   return deadline_ - context_.loop.get_now();
 }
 
-auto relay_session::TryDispatch() -> void {
+auto relay_session::MakeQuery() const -> server_query {
   auto query = server_query();
   query.service = service_.name;
   query.is_engine = IsEngine();
   query.model = terms_.model;
   query.adapter = terms_.adapter;
   query.avoid = &tried_;
-  const auto choice = context_.board.Choose(query, context_.loop.get_now());
+  return query;
+}
+
+auto relay_session::HasAlternative() -> bool {
+  const auto now = context_.loop.get_now();
+  return context_.board.Choose(MakeQuery(), now).verdict ==
+             server_verdict::chosen &&
+         context_.repeats.HasRoom(service_.name, now);
+}
+
+auto relay_session::TryDispatch() -> void {
+  const auto choice =
+      context_.board.Choose(MakeQuery(), context_.loop.get_now());
   if (choice.verdict == server_verdict::chosen) {
     StopWaiting();
     Dispatch(*choice.server);
@@ -90,6 +104,9 @@
 }
 
 auto relay_session::GetWaitLimit(server_verdict reason) const -> duration {
+  if (answer_->has_begun()) {
+    return kResumeWait;
+  }
   if (reason == server_verdict::busy) {
     return duration(static_cast<duration::rep>(
         kBusyWaitPart * static_cast<double>(rule_.objective.count())));
@@ -106,9 +123,10 @@
     context_.on_missing();
   }
   // Once it was tried, a request that finds no other server is not kept.
-  const auto limit = is_first_try || reason == server_verdict::busy
-                         ? std::min(GetWaitLimit(reason), GetTimeLeft())
-                         : duration(0);
+  const auto may_wait =
+      is_first_try || reason == server_verdict::busy || answer_->has_begun();
+  const auto limit =
+      may_wait ? std::min(GetWaitLimit(reason), GetTimeLeft()) : duration(0);
   const auto refuse_absent = reason != server_verdict::busy;
   if (limit <= duration(0)) {
     Refuse(refuse_absent ? error_kind::no_backend : error_kind::overloaded,
@@ -243,8 +261,10 @@
     context_.board.OnPrefilled(server_, prefill_tokens_);
     prefill_tokens_ = 0;
   }
-  ArmStall();
   ShowEvents(bytes);
+  if (attempt_ != nullptr) {
+    ArmStall();  // what a stall may do depends on what has been shown
+  }
 }
 
 auto relay_session::ShowEvents(std::string_view bytes) -> void {
@@ -392,12 +412,21 @@
   if (limit <= duration(0)) {
     return;
   }
-  stall_timer_ = context_.loop.AddTimerIn(limit, [self = shared_from_this()] {
-    if (self->attempt_ != nullptr) {
-      self->attempt_->Cancel();
-      self->OnAttemptEnd(relay_end::stalled);
-    }
-  });
+  stall_timer_ = context_.loop.AddTimerIn(
+      limit, [self = shared_from_this()] { self->OnStalled(); });
+}
+
+// A silent server keeps its request for as long as nobody else could take it.
+auto relay_session::OnStalled() -> void {
+  if (is_done_ || attempt_ == nullptr) {
+    return;
+  }
+  if (!HasAlternative()) {
+    ArmStall();
+    return;
+  }
+  attempt_->Cancel();
+  OnAttemptEnd(relay_end::stalled);
 }
 
 auto relay_session::OnDeadline() -> void {
@@ -471,7 +500,7 @@
 // Only for what has not run and will not.
 auto relay_session::Refuse(error_kind kind, duration expected_wait) -> void {
   constexpr int kUnavailable = 503;
-  if (has_run_maybe_ || spare_) {
+  if (has_run_maybe_ || spare_ || answer_->has_begun()) {
     Fail(kind);
     return;
   }
@@ -490,6 +519,10 @@
 auto relay_session::Fail(error_kind kind) -> void {
   constexpr int kBadGateway = 502;
   constexpr int kGatewayTimeout = 504;
+  if (answer_->has_begun()) {
+    BreakOff(GetErrorAnswer(kind).code.data());
+    return;
+  }
   if (spare_) {
     answer_->Respond(platform::MakeCallerHead(spare_->head), spare_->body);
     Finish("delivered_failure", spare_->head.status);
--- a/main/relay_session.h
+++ b/main/relay_session.h
@@ -99,6 +99,9 @@
 
   auto IsEngine() const -> bool { return service_.engine.has_value(); }
   auto GetTimeLeft() const -> duration;
+  auto MakeQuery() const -> server_query;
+  // True when another server could take the request over now.
+  auto HasAlternative() -> bool;
   auto TryDispatch() -> void;
   auto Wait(server_verdict reason) -> void;
   auto GetWaitLimit(server_verdict reason) const -> duration;
@@ -113,6 +116,7 @@
   auto ReleaseServer() -> void;
   auto ArmStall() -> void;
   auto GetStallLimit() const -> duration;
+  auto OnStalled() -> void;
   auto OnDeadline() -> void;
   auto OnCallerGone() -> void;
   auto Deliver() -> void;
--- /dev/null
+++ b/tests/backend_registry_test.cc
@@ -0,0 +1,138 @@
+#include <boost/test/unit_test.hpp>
+
+#include "codec/site_codec.h"
+#include "core/backend_registry.h"
+#include "tests/test_support.h"
+
+namespace ebony::testing {
+
+namespace {
+
+auto MakeStatus(std::uint64_t born,
+                std::uint64_t sequence,
+                bool leaving = false) -> backend_status {
+  auto status = backend_status();
+  status.id = backend_name("b");
+  status.service = service_name("s");
+  status.address = host_port("10.0.0.1:1");
+  status.born_ms = born;
+  status.sequence = sequence;
+  status.is_leaving = leaving;
+  return status;
+}
+
+auto MakeRegistry() -> backend_registry {
+  return backend_registry(backend_registry_options());
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(backend_registry_rules)
+
+BOOST_AUTO_TEST_CASE(a_late_announcement_changes_nothing) {
+  auto registry = MakeRegistry();
+  registry.Announce(MakeStatus(10, 5, true), At(0));
+  BOOST_TEST((registry.Announce(MakeStatus(10, 4), At(10)) ==
+              announce_verdict::outdated));
+  BOOST_TEST((registry.Announce(MakeStatus(9, 99), At(10)) ==
+              announce_verdict::outdated));
+  BOOST_TEST(registry.Find(backend_name("b"))->status.is_leaving);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_start_counts_anew) {
+  auto registry = MakeRegistry();
+  registry.Announce(MakeStatus(10, 50, true), At(0));
+  BOOST_TEST((registry.Announce(MakeStatus(11, 1), At(10)) ==
+              announce_verdict::changed));
+  BOOST_TEST(!registry.Find(backend_name("b"))->status.is_leaving);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_comes_after_a_leave_but_a_new_start) {
+  auto registry = MakeRegistry();
+  registry.Announce(MakeStatus(10, 5), At(0));
+  BOOST_TEST(registry.Leave(backend_name("b"), 0, At(10)));
+  BOOST_TEST((registry.Announce(MakeStatus(10, 6), At(20)) ==
+              announce_verdict::outdated));
+  BOOST_TEST(registry.Find(backend_name("b"))->is_gone);
+  registry.Announce(MakeStatus(11, 1), At(30));
+  BOOST_TEST(!registry.Find(backend_name("b"))->is_gone);
+}
+
+BOOST_AUTO_TEST_CASE(a_leave_of_an_earlier_start_changes_nothing) {
+  auto registry = MakeRegistry();
+  registry.Announce(MakeStatus(11, 1), At(0));
+  BOOST_TEST(!registry.Leave(backend_name("b"), 10, At(10)));
+  BOOST_TEST(!registry.Find(backend_name("b"))->is_gone);
+}
+
+BOOST_AUTO_TEST_CASE(a_leave_before_the_first_announcement_is_remembered) {
+  auto registry = MakeRegistry();
+  registry.Leave(backend_name("b"), 10, At(0));
+  registry.Announce(MakeStatus(10, 3), At(10));
+  BOOST_TEST(registry.Find(backend_name("b"))->is_gone);
+}
+
+BOOST_AUTO_TEST_CASE(only_news_gets_a_revision) {
+  auto registry = MakeRegistry();
+  registry.Announce(MakeStatus(10, 1), At(0));
+  const auto revision = registry.get_revision();
+  BOOST_TEST((registry.Announce(MakeStatus(10, 2), At(10)) ==
+              announce_verdict::unchanged));
+  BOOST_TEST(registry.get_revision() == revision);
+  BOOST_TEST(registry.ListSince(revision).empty());
+  registry.Announce(MakeStatus(10, 3, true), At(20));
+  BOOST_TEST(registry.ListSince(revision).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_server_is_suspected_and_comes_back) {
+  auto registry = MakeRegistry();
+  registry.Announce(MakeStatus(10, 1), At(0));
+  BOOST_TEST(registry.Expire(At(3900)).empty());
+  BOOST_TEST(registry.Expire(At(4100)).size() == 1U);
+  BOOST_TEST(registry.Find(backend_name("b"))->is_suspected);
+  registry.Announce(MakeStatus(10, 2), At(4200));
+  BOOST_TEST(!registry.Find(backend_name("b"))->is_suspected);
+}
+
+BOOST_AUTO_TEST_CASE(a_gateway_takes_over_what_the_leader_says) {
+  auto leader = MakeRegistry();
+  auto gateway = MakeRegistry();
+  const auto pass = [&](std::int64_t ms) {
+    for (const auto* record : leader.ListSince(0)) {
+      gateway.Merge(ToDomain(ToSchema(*record, At(ms)), At(ms)), At(ms));
+    }
+  };
+  leader.Announce(MakeStatus(10, 1), At(0));
+  pass(10);
+  BOOST_TEST(gateway.Find(backend_name("b")) != nullptr);
+  leader.Announce(MakeStatus(10, 2, true), At(20));
+  pass(30);
+  BOOST_TEST(gateway.Find(backend_name("b"))->status.is_leaving);
+  leader.Leave(backend_name("b"), 10, At(40));
+  pass(50);
+  BOOST_TEST(gateway.Find(backend_name("b"))->is_gone);
+  // A new leader that still has an older word does not bring it back.
+  auto other = MakeRegistry();
+  other.Announce(MakeStatus(10, 1), At(60));
+  gateway.Merge(*other.Find(backend_name("b")), At(60));
+  BOOST_TEST(gateway.Find(backend_name("b"))->is_gone);
+}
+
+BOOST_AUTO_TEST_CASE(a_record_survives_its_encoding) {
+  auto record = backend_record();
+  record.status = MakeStatus(10, 7, true);
+  record.status.models = {{model_name("m"), 2, {adapter_name("a1")}}};
+  record.status.in_memory = {model_name("m")};
+  record.status.on_disk = {model_name("n")};
+  record.status.slots = 64;
+  record.is_suspected = true;
+  record.heard = At(100);
+  const auto back = ToDomain(ToSchema(record, At(350)), At(1350));
+  BOOST_TEST((back.status == record.status));
+  BOOST_TEST(back.is_suspected);
+  BOOST_TEST((back.heard == At(1100)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace ebony::testing
--- /dev/null
+++ b/tests/gateway_world.cc
@@ -0,0 +1,303 @@
+#include "tests/gateway_world.h"
+
+#include <boost/test/unit_test.hpp>
+#include <utility>
+
+#include "codec/site_codec.h"
+
+namespace ebony::testing {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto kPatience = std::chrono::seconds(5);
+
+auto FindFreePort() -> std::uint16_t {
+  auto loop = event_loop();
+  return stream_acceptor(loop, host_port("127.0.0.1:0"), [](int) {}).GetPort();
+}
+
+auto MakeRouteText(const std::string& name,
+                   const std::string& kind,
+                   const std::string& more) -> std::string {
+  return R"({"name":")" + name + R"(","host":"h","pathPrefix":"/)" + name +
+         R"(/","kind":")" + kind +
+         R"(","timeoutMs":2000,"targetLatencyMs":200,"priority":1,)" + more +
+         R"("service":"s"})";
+}
+
+auto MakeConfigText(std::uint64_t number) -> std::string {
+  return R"({"version":)" + std::to_string(number) + R"(,"routes":[)" +
+         MakeRouteText("plain", "idempotent", R"("maxAttempts":2,)") + "," +
+         MakeRouteText("once", "non_idempotent", R"("maxAttempts":2,)") + "," +
+         MakeRouteText("stream", "streaming",
+                       R"("maxAttempts":2,"gapAimMs":100,)") +
+         "," +
+         MakeRouteText("resume", "streaming",
+                       R"("maxAttempts":2,"gapAimMs":100,"resumable":true,)") +
+         R"(],"services":[{"name":"s","healthPath":"/h","maxConns":9}]})";
+}
+
+auto ReplaceId(std::string text, const std::string& id) -> std::string {
+  const auto mark = std::string("$ID");
+  for (auto at = text.find(mark); at != std::string::npos;
+       at = text.find(mark, at + id.size())) {
+    text.replace(at, mark.size(), id);
+  }
+  return text;
+}
+
+}  // namespace
+
+auto MakeRequest(const std::string& route,
+                 const std::string& id,
+                 const std::string& fields,
+                 const std::string& body) -> std::string {
+  return (body.empty() ? "GET /" : "POST /") + route +
+         "/x HTTP/1.1\r\nHost: h\r\nEbonythread-Request-Id: " + id + "\r\n" +
+         fields +
+         (body.empty()
+              ? std::string()
+              : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+         "\r\n" + body;
+}
+
+auto MakeAnswer(int status, const std::string& body) -> std::string {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " X\r\nEbonythread-Request-Id: $ID\r\n"
+         "Ebonythread-Response-Seal: seal-$ID\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// One connection to a scripted server.
+struct scripted_server::session {
+  std::shared_ptr<stream_socket> socket;
+  std::unique_ptr<http_reader> reader;
+  std::string held;
+  std::shared_ptr<arrived_request> request;   // being read
+  std::shared_ptr<arrived_request> answered;  // the one before
+};
+
+scripted_server::scripted_server(event_loop& loop,
+                                 std::string name,
+                                 std::deque<server_script>& common_scripts)
+    : loop_(loop), common_scripts_(common_scripts), id(std::move(name)) {
+  const auto expect_request = [](const std::shared_ptr<session>& item) {
+    item->request = std::make_shared<arrived_request>();
+    auto hooks = http_reader::hooks();
+    hooks.on_head = [request = item->request](http_head head) {
+      if (const auto* found = head.Find("Ebonythread-Request-Id")) {
+        request->id = *found;
+      }
+      request->head = std::move(head);
+    };
+    hooks.on_body = [request = item->request](std::string_view bytes) {
+      request->body.append(bytes);
+    };
+    item->reader = std::make_unique<http_reader>(http_side::request, hooks,
+                                                 http_reader::limits());
+  };
+  const auto on_accept = [this, expect_request](int fd) {
+    ++connections_;
+    const auto item = std::make_shared<session>();
+    sessions_.push_back(item);
+    item->socket = std::make_shared<stream_socket>(loop_);
+    expect_request(item);
+    auto hooks = stream_socket::hooks();
+    hooks.on_bytes = [this, item, expect_request](std::string_view bytes) {
+      item->held.append(bytes);
+      auto consumed = std::size_t{0};
+      const auto verdict = item->reader->Feed(item->held, consumed);
+      item->held.erase(0, consumed);
+      if (verdict == read_verdict::whole) {
+        arrived_.push_back(item->request);
+        Answer(*item);
+        item->answered = item->request;
+        expect_request(item);
+      }
+    };
+    hooks.on_end = [item](socket_end) {
+      if (item->answered != nullptr) {
+        item->answered->is_gone = true;
+      }
+    };
+    item->socket->Adopt(fd, std::move(hooks));
+  };
+  acceptor_ = std::make_unique<stream_acceptor>(loop_, host_port("127.0.0.1:0"),
+                                                on_accept);
+}
+
+auto scripted_server::TakeScript() -> server_script {
+  for (auto* scripts : {&scripts_, &common_scripts_}) {
+    if (!scripts->empty()) {
+      const auto script = scripts->front();
+      scripts->pop_front();
+      return script;
+    }
+  }
+  return {{MakeAnswer(200, "whole")}, server_script::ending::keep};
+}
+
+auto scripted_server::Answer(session& item) -> void {
+  const auto script = TakeScript();
+  for (const auto& piece : script.sends) {
+    item.socket->Send(ReplaceId(piece, item.request->id));
+  }
+  if (script.end == server_script::ending::close) {
+    item.socket->CloseGracefully();
+  } else if (script.end == server_script::ending::reset) {
+    item.socket->Reset();
+  }
+}
+
+auto scripted_server::Expect(server_script script) -> void {
+  scripts_.push_back(std::move(script));
+}
+
+auto scripted_server::GetAddress() const -> host_port {
+  return host_port("127.0.0.1:" + std::to_string(acceptor_->GetPort()));
+}
+
+// One raw caller.
+struct gateway_world::caller {
+  std::shared_ptr<stream_socket> socket;
+  std::unique_ptr<http_reader> reader;
+  std::string held;
+  std::shared_ptr<caller_view> view = std::make_shared<caller_view>();
+};
+
+gateway_world::gateway_world(int server_count) {
+  const auto link = FindFreePort();
+  settings_.vm = vm_name("gateway-1");
+  settings_.ip = "127.0.0.1";
+  settings_.link_port = link;
+  settings_.seeds = {host_port("127.0.0.1:1")};
+  settings_.caller_address =
+      host_port("127.0.0.1:" + std::to_string(FindFreePort()));
+  settings_.readiness_address =
+      host_port("127.0.0.1:" + std::to_string(FindFreePort()));
+  settings_.stop_grace = milliseconds(8000);
+  settings_.repeat_ratio = 0.2;
+  settings_.repeat_slack = 50;
+  settings_.repeat_window = std::chrono::seconds(10);
+  config_ = MakeConfigText(1);
+  for (auto i = 0; i < server_count; ++i) {
+    servers.push_back(std::make_unique<scripted_server>(
+        loop_, "i-" + std::to_string(i), common_scripts_));
+    auto status = backend_status();
+    status.id = backend_name(servers.back()->id);
+    status.service = service_name("s");
+    status.address = servers.back()->GetAddress();
+    status.slots = 8;
+    status.born_ms = 1;
+    status.sequence = ++sequence_;
+    roster_.Announce(status, loop_.get_now());
+  }
+  auto options = http_listener::options();
+  options.get_limits = [] { return connection_limits(); };
+  options.is_closing = [] { return false; };
+  coordinator_ = std::make_unique<http_listener>(
+      loop_, host_port("127.0.0.1:" + std::to_string(link)), options,
+      [this](const http_call_in& call, const answer_pointer& answer) {
+        OnSync(call, answer);
+      });
+  gateway_ =
+      std::make_unique<gateway_daemon>(settings_, loop_, log_, counters_);
+  gateway_->Start();
+  RunUntil([this] { return syncs.size() >= 2; });
+}
+
+gateway_world::~gateway_world() = default;
+
+auto gateway_world::OnSync(const http_call_in& call,
+                           const answer_pointer& answer) -> void {
+  auto request = schema::sync_request();
+  BOOST_REQUIRE(request.ParseFromString(call.body));
+  syncs.push_back(request);
+  auto reply = schema::sync_answer();
+  reply.set_is_leader(true);
+  reply.set_config_number(config_number_);
+  if (request.have_config() < config_number_) {
+    reply.set_config(config_);
+  }
+  reply.set_roster_source("test");
+  reply.set_roster_revision(roster_.get_revision());
+  for (const auto* record : roster_.ListSince(0)) {
+    *reply.add_backends() = ToSchema(*record, loop_.get_now());
+  }
+  reply.add_gateways()->set_vm("gateway-1");
+  auto head = http_head();
+  head.status = 200;
+  answer->Respond(std::move(head), reply.SerializeAsString());
+}
+
+auto gateway_world::SetLeaving(std::size_t server) -> void {
+  auto status = roster_.Find(backend_name(servers.at(server)->id))->status;
+  status.is_leaving = true;
+  status.sequence = ++sequence_;
+  roster_.Announce(status, loop_.get_now());
+  const auto seen = syncs.size();
+  RunUntil([this, seen] { return syncs.size() >= seen + 2; });
+}
+
+auto gateway_world::SetConfig(const std::string& text, std::uint64_t number)
+    -> void {
+  config_ = text;
+  config_number_ = number;
+  const auto seen = syncs.size();
+  RunUntil([this, seen] { return syncs.size() >= seen + 2; });
+}
+
+auto gateway_world::Call(const std::string& bytes)
+    -> std::shared_ptr<caller_view> {
+  const auto item = std::make_shared<caller>();
+  callers_.push_back(item);
+  auto reading = http_reader::hooks();
+  const auto view = item->view;
+  reading.on_head = [view](http_head head) {
+    view->status = head.status;
+    view->head = std::move(head);
+  };
+  reading.on_body = [view](std::string_view piece) {
+    view->body.append(piece);
+  };
+  item->reader = std::make_unique<http_reader>(http_side::response, reading,
+                                               http_reader::limits());
+  item->socket = std::make_shared<stream_socket>(loop_);
+  auto hooks = stream_socket::hooks();
+  const auto weak = std::weak_ptr<caller>(item);
+  hooks.on_bytes = [weak](std::string_view piece) {
+    const auto self = weak.lock();
+    self->held.append(piece);
+    auto consumed = std::size_t{0};
+    const auto verdict = self->reader->Feed(self->held, consumed);
+    self->held.erase(0, consumed);
+    self->view->is_whole = verdict == read_verdict::whole;
+  };
+  hooks.on_end = [view](socket_end) { view->is_closed = !view->is_whole; };
+  item->socket->Connect(settings_.caller_address, std::move(hooks));
+  item->socket->Send(bytes);
+  return view;
+}
+
+auto gateway_world::Leave(const std::shared_ptr<caller_view>& view) -> void {
+  for (const auto& item : callers_) {
+    if (item->view == view) {
+      item->socket->Close();
+    }
+  }
+}
+
+auto gateway_world::RunUntil(const std::function<bool()>& done) -> void {
+  const auto until = loop_.RefreshNow() + kPatience;
+  loop_.Run([&] { return done() || loop_.get_now() > until; });
+  BOOST_REQUIRE(done());
+}
+
+auto gateway_world::RunFor(duration time) -> void {
+  const auto until = loop_.RefreshNow() + time;
+  loop_.Run([&] { return loop_.get_now() >= until; });
+}
+
+}  // namespace ebony::testing
--- /dev/null
+++ b/tests/http_message_test.cc
@@ -0,0 +1,119 @@
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "drivers/http_message.h"
+
+namespace ebony::testing {
+
+namespace {
+
+struct read_result {
+  http_head head;
+  std::string body;
+  std::string rest;
+  read_verdict verdict = read_verdict::more;
+};
+
+// Feeds `bytes` in pieces of `step` bytes, as a connection may deliver them.
+auto Read(http_side side, const std::string& bytes, std::size_t step)
+    -> read_result {
+  auto result = read_result();
+  auto hooks = http_reader::hooks();
+  hooks.on_head = [&](http_head head) { result.head = std::move(head); };
+  hooks.on_body = [&](std::string_view piece) { result.body.append(piece); };
+  auto reader = http_reader(side, hooks, {1024, 1024});
+  auto held = std::string();
+  for (auto at = std::size_t{0};
+       at < bytes.size() && result.verdict == read_verdict::more; at += step) {
+    held.append(bytes.substr(at, step));
+    auto consumed = std::size_t{0};
+    result.verdict = reader.Feed(held, consumed);
+    held.erase(0, consumed);
+    result.rest = held + bytes.substr(std::min(bytes.size(), at + step));
+  }
+  return result;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(http_message)
+
+BOOST_AUTO_TEST_CASE(a_message_reads_alike_however_it_is_split) {
+  const auto bytes = std::string(
+      "POST /a/b?x=1 HTTP/1.1\r\nHost: h\r\nContent-Length: "
+      "5\r\n\r\nhelloNEXT");
+  for (auto step = std::size_t{1}; step <= bytes.size(); ++step) {
+    const auto result = Read(http_side::request, bytes, step);
+    BOOST_TEST_REQUIRE((result.verdict == read_verdict::whole));
+    BOOST_TEST_REQUIRE(result.head.target == "/a/b?x=1");
+    BOOST_TEST_REQUIRE(result.body == "hello");
+    BOOST_TEST_REQUIRE(result.rest == "NEXT");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_chunked_answer_reads_alike_however_it_is_split) {
+  const auto bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                     RenderChunk("id: 1\n\n") + RenderChunk("id: 2\n\n") +
+                     RenderChunk({}) + "surplus";
+  for (auto step = std::size_t{1}; step <= bytes.size(); ++step) {
+    const auto result = Read(http_side::response, bytes, step);
+    BOOST_TEST_REQUIRE((result.verdict == read_verdict::whole));
+    BOOST_TEST_REQUIRE(result.body == "id: 1\n\nid: 2\n\n");
+    BOOST_TEST_REQUIRE(result.rest == "surplus");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_could_hide_another_is_broken) {
+  const auto both = Read(http_side::request,
+                         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                         7);
+  BOOST_TEST((both.verdict == read_verdict::broken));
+  const auto lengths =
+      Read(http_side::request,
+           "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+           "Content-Length: 5\r\n\r\nabcde",
+           100);
+  BOOST_TEST((lengths.verdict == read_verdict::broken));
+}
+
+BOOST_AUTO_TEST_CASE(bounds_on_head_and_body) {
+  const auto head = Read(http_side::request,
+                         "GET / HTTP/1.1\r\nA: " + std::string(2000, 'x'), 64);
+  BOOST_TEST((head.verdict == read_verdict::too_large_head));
+  const auto body = Read(
+      http_side::request,
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9999\r\n\r\nabc", 1000);
+  BOOST_TEST((body.verdict == read_verdict::too_large_body));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_ends_early_is_not_whole) {
+  auto hooks = http_reader::hooks();
+  hooks.on_head = [](const http_head&) {};
+  hooks.on_body = [](std::string_view) {};
+  for (const auto* bytes :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Le", ""}) {
+    auto reader = http_reader(http_side::response, hooks, {});
+    auto consumed = std::size_t{0};
+    reader.Feed(bytes, consumed);
+    BOOST_TEST((reader.FeedEnd() == read_verdict::broken));
+  }
+  auto reader = http_reader(http_side::response, hooks, {});
+  auto consumed = std::size_t{0};
+  reader.Feed("HTTP/1.1 200 OK\r\n\r\nabc", consumed);
+  BOOST_TEST((reader.FeedEnd() == read_verdict::whole));
+}
+
+BOOST_AUTO_TEST_CASE(fields_of_one_connection_are_known) {
+  auto head = http_head();
+  head.fields = {{"Connection", "close, X-Own"}, {"X-Own", "1"}};
+  BOOST_TEST(IsHopByHop(head, "keep-alive"));
+  BOOST_TEST(IsHopByHop(head, "x-own"));
+  BOOST_TEST(!IsHopByHop(head, "Host"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace ebony::testing
--- /dev/null
+++ b/tests/model_planner_test.cc
@@ -0,0 +1,183 @@
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <vector>
+
+#include "control/model_planner.h"
+#include "tests/test_support.h"
+
+namespace ebony::testing {
+
+namespace {
+
+auto MakeEngine(int models, double weights) -> engine_spec {
+  auto engine = engine_spec();
+  engine.weights_mb = 200;
+  engine.adapter_slots = 2;
+  engine.loads_per_second = 1.6;
+  for (auto i = 0; i < models; ++i) {
+    auto model = catalogue_model();
+    model.name = model_name("m" + std::to_string(i));
+    model.weights_mb = weights;
+    model.adapter_mb = 1;
+    model.load_from_store = std::chrono::seconds(3);
+    engine.models.push_back(model);
+  }
+  return engine;
+}
+
+// Servers that carry out orders at once, and check what the planner promises.
+struct planner_world {
+  engine_spec engine;
+  std::vector<backend_status> servers;
+  model_planner planner{model_planner_options()};
+  std::int64_t ms = 0;
+  std::vector<std::int64_t> store_loads;
+  int orders = 0;
+
+  planner_world(engine_spec spec, int count) : engine(std::move(spec)) {
+    for (auto i = 0; i < count; ++i) {
+      auto status = backend_status();
+      status.id = backend_name("b" + std::to_string(i));
+      servers.push_back(status);
+    }
+    planner.Reset(At(0));
+  }
+
+  auto CountCopies(const model_name& name) const -> int {
+    auto count = 0;
+    for (const auto& server : servers) {
+      for (const auto& model : server.models) {
+        count += model.name == name ? 1 : 0;
+      }
+    }
+    return count;
+  }
+
+  auto Apply(const model_order& order) -> void {
+    ++orders;
+    auto& server = *std::find_if(
+        servers.begin(), servers.end(),
+        [&order](const auto& item) { return item.id == order.backend; });
+    auto held = std::find_if(
+        server.models.begin(), server.models.end(),
+        [&order](const auto& item) { return item.name == order.model; });
+    if (!order.adapter.get().empty()) {
+      BOOST_TEST_REQUIRE((held != server.models.end()));
+      if (order.is_load) {
+        held->adapters.push_back(order.adapter);
+      } else {
+        std::erase(held->adapters, order.adapter);
+      }
+    } else if (order.is_load) {
+      server.models.push_back({order.model, 1, {}});
+      if (order.from_store) {
+        store_loads.push_back(ms);
+      }
+    } else {
+      BOOST_TEST_REQUIRE(CountCopies(order.model) >= 2);
+      server.models.erase(held);
+    }
+    Check(server);
+  }
+
+  auto Check(const backend_status& server) const -> void {
+    auto weights = 0.0;
+    auto adapters = std::size_t{0};
+    for (const auto& model : server.models) {
+      weights += engine.models.at(0).weights_mb;
+      adapters += model.adapters.size();
+    }
+    BOOST_TEST_REQUIRE(weights + static_cast<double>(adapters) <=
+                       engine.weights_mb);
+    BOOST_TEST_REQUIRE(adapters <=
+                       static_cast<std::size_t>(engine.adapter_slots));
+  }
+
+  auto Run(std::int64_t until, const std::map<std::string, double>& per_second)
+      -> void {
+    for (; ms < until; ms += 100) {
+      for (const auto& [name, rate] : per_second) {
+        planner.NoteDemand(model_name(name), adapter_name(), rate / 10, false,
+                           At(ms));
+      }
+      auto views = std::vector<planner_server>();
+      for (const auto& server : servers) {
+        views.push_back({&server, 0, false});
+      }
+      for (const auto& order : planner.Plan(engine, views, At(ms))) {
+        Apply(order);
+      }
+    }
+  }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(model_planner_rules)
+
+BOOST_AUTO_TEST_CASE(every_model_gets_a_copy_within_the_stores_rate) {
+  auto world = planner_world(MakeEngine(10, 60), 6);
+  world.Run(30000, {});
+  for (const auto& model : world.engine.models) {
+    BOOST_TEST_REQUIRE(world.CountCopies(model.name) == 1);
+  }
+  for (const auto begin : world.store_loads) {
+    auto count = 0;
+    for (const auto time : world.store_loads) {
+      count += time >= begin && time < begin + 5000 ? 1 : 0;
+    }
+    BOOST_TEST_REQUIRE(count <= 1.6 * 5 * 1.1 + 3);
+  }
+}
+
+// The load: all of the demand moves from one model to another.
+BOOST_AUTO_TEST_CASE(copies_follow_the_demand_and_nothing_goes_without) {
+  auto world = planner_world(MakeEngine(6, 60), 6);
+  world.Run(20000, {{"m0", 40}, {"m1", 10}});
+  const auto before = world.CountCopies(model_name("m0"));
+  BOOST_TEST(before >= 4);
+  BOOST_TEST(world.CountCopies(model_name("m5")) == 1);
+  world.Run(50000, {{"m5", 40}, {"m1", 10}});
+  BOOST_TEST(world.CountCopies(model_name("m5")) >= 4);
+  for (const auto& model : world.engine.models) {
+    BOOST_TEST_REQUIRE(world.CountCopies(model.name) >= 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_steady_demand_moves_nothing) {
+  auto world = planner_world(MakeEngine(6, 60), 6);
+  world.Run(30000, {{"m0", 30}, {"m1", 10}});
+  const auto orders = world.orders;
+  world.Run(60000, {{"m0", 30}, {"m1", 10}});
+  BOOST_TEST(world.orders == orders);
+}
+
+BOOST_AUTO_TEST_CASE(adapters_take_turns_in_their_places) {
+  auto world = planner_world(MakeEngine(1, 60), 1);
+  world.Run(10000, {});
+  for (auto round = 0; round < 6; ++round) {
+    const auto name = adapter_name("a" + std::to_string(round));
+    for (auto tries = 0; tries < 50; ++tries) {
+      world.planner.NoteDemand(model_name("m0"), name, 1, true, At(world.ms));
+      world.Run(world.ms + 100, {});
+      const auto& held = world.servers.at(0).models.at(0).adapters;
+      if (std::count(held.begin(), held.end(), name) > 0) {
+        break;
+      }
+    }
+    const auto& held = world.servers.at(0).models.at(0).adapters;
+    BOOST_TEST_REQUIRE(std::count(held.begin(), held.end(), name) == 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_copy_at_hand_goes_before_the_store) {
+  auto world = planner_world(MakeEngine(1, 60), 3);
+  world.servers.at(2).on_disk = {model_name("m0")};
+  world.Run(200, {});
+  BOOST_TEST(world.servers.at(2).models.size() == 1U);
+  BOOST_TEST(world.store_loads.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace ebony::testing
--- /dev/null
+++ b/tests/platform_codec_test.cc
@@ -0,0 +1,269 @@
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <variant>
+
+#include "core/error_kind.h"
+#include "platform/control_codec.h"
+#include "platform/request_codec.h"
+#include "platform/settings_file.h"
+#include "settings/settings_loader.h"
+
+namespace ebony::testing {
+
+namespace {
+
+using namespace ebony::platform;
+
+constexpr const char* kSettings =
+    "node=core-1\nzone=z1\nip=10.1.0.1\nlisten.control=10.1.0.1:8144\n"
+    "portRange=7380,7395\nseeds=10.1.0.1:8144,10.2.0.1:8144\nbootstrap=true\n"
+    "tolerate.machines=2\nbounds.leaseMs=3000\nbounds.graceS=8\n"
+    "some.new.field=whatever\n";
+
+auto MakeConfigText(const std::string& routes) -> std::string {
+  return R"({"version":7,"routes":[)" + routes +
+         R"(],"services":[{"name":"s","healthPath":"/h","maxConns":3}]})";
+}
+
+constexpr const char* kRoute =
+    R"({"name":"r","host":"h","pathPrefix":"/a/","kind":"idempotent",
+        "timeoutMs":800,"targetLatencyMs":100,"priority":2,"service":"s",
+        "maxAttempts":2})";
+
+auto IsRefused(const std::string& body) -> bool {
+  try {
+    DecodeConfig(body);
+    return false;
+  } catch (const ebony_error& error) {
+    return error.get_kind() == error_kind::invalid_request;
+  }
+}
+
+auto MakeCall(const std::string& method, const std::string& target)
+    -> http_head {
+  auto head = http_head();
+  head.method = method;
+  head.target = target;
+  return head;
+}
+
+constexpr const char* kAnnouncement =
+    R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","version":"v1",
+        "slots":64,"state":"ready","coldLeftMs":0,"seq":4,"born":1700,
+        "models":[{"name":"m","version":1,"adapters":["a1"]}],
+        "atHand":{"inMemory":["m"],"onDisk":["m","n"]}})";
+
+auto ReplaceAll(std::string text,
+                const std::string& from,
+                const std::string& to) -> std::string {
+  for (auto at = text.find(from); at != std::string::npos;
+       at = text.find(from, at + to.size())) {
+    text.replace(at, from.size(), to);
+  }
+  return text;
+}
+
+auto IsAnnouncementRefused(const std::string& body) -> bool {
+  try {
+    DecodeControlCall(MakeCall("PUT", "/api/instances/i-1"), body);
+    return false;
+  } catch (const ebony_error&) {
+    return true;
+  }
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(platform_codec)
+
+BOOST_AUTO_TEST_CASE(settings_are_read_and_unknown_names_ignored) {
+  const auto settings = DecodeSettings(kSettings);
+  BOOST_TEST(settings.vm.get() == "core-1");
+  BOOST_TEST(settings.seeds.size() == 2U);
+  BOOST_TEST(settings.link_port == 7380);
+  BOOST_TEST(settings.is_first_start);
+  BOOST_TEST(settings.tolerated_losses == 2U);
+  BOOST_TEST((settings.order_lease == std::chrono::seconds(3)));
+  BOOST_TEST((settings.stop_grace == std::chrono::seconds(8)));
+}
+
+BOOST_AUTO_TEST_CASE(all_faults_of_the_settings_are_told_at_once) {
+  try {
+    DecodeSettings(
+        "zone=z\nip=10.0.0.1\nbootstrap=maybe\nbounds.graceS=long\n");
+    BOOST_ERROR("no fault was found");
+  } catch (const settings_error& error) {
+    const auto text = std::string(error.what());
+    BOOST_TEST(text.find("node") != std::string::npos);
+    BOOST_TEST(text.find("bootstrap") != std::string::npos);
+    BOOST_TEST(text.find("bounds.graceS") != std::string::npos);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_read) {
+  const auto config = DecodeConfig(MakeConfigText(kRoute));
+  BOOST_TEST(config.number.get() == 7U);
+  const auto& route = config.routes.at(0);
+  BOOST_TEST((route.repeat == repeat_rule::idempotent));
+  BOOST_TEST((route.time_limit == std::chrono::milliseconds(800)));
+  BOOST_TEST(route.targets.at(0).service.get() == "s");
+  const auto stream = ReplaceAll(kRoute, "idempotent", "streaming");
+  BOOST_TEST((DecodeConfig(MakeConfigText(stream)).routes.at(0).repeat ==
+              repeat_rule::at_most_once));
+  const auto resumable =
+      ReplaceAll(stream, "\"name\"", "\"resumable\":true,\"name\"");
+  BOOST_TEST((DecodeConfig(MakeConfigText(resumable)).routes.at(0).repeat ==
+              repeat_rule::resumable));
+}
+
+BOOST_AUTO_TEST_CASE(every_invalid_configuration_is_refused) {
+  const auto good = MakeConfigText(kRoute);
+  BOOST_TEST(!IsRefused(good));
+  for (auto cut = std::size_t{0}; cut < good.size(); ++cut) {
+    BOOST_TEST_REQUIRE(IsRefused(good.substr(0, cut)));
+  }
+  BOOST_TEST(IsRefused(MakeConfigText(
+      ReplaceAll(kRoute, "\"service\":\"s\"", "\"service\":\"t\""))));
+  BOOST_TEST(IsRefused(MakeConfigText(std::string(kRoute) + "," + kRoute)));
+  BOOST_TEST(IsRefused(MakeConfigText(
+      ReplaceAll(kRoute, "\"timeoutMs\":800", "\"timeoutMs\":0"))));
+  BOOST_TEST(IsRefused(
+      MakeConfigText(ReplaceAll(kRoute, "\"service\":\"s\"",
+                                R"("split":[{"service":"s","weight":0}])"))));
+  BOOST_TEST(IsRefused(ReplaceAll(good, "\"version\":7", "\"version\":\"7\"")));
+  BOOST_TEST(IsRefused(ReplaceAll(good, "\"version\":7", "\"version\":-7")));
+  BOOST_TEST(IsRefused(R"({"version":7,"routes":[]})"));
+}
+
+BOOST_AUTO_TEST_CASE(an_announcement_is_read) {
+  const auto call = std::get<announce_call>(
+      DecodeControlCall(MakeCall("PUT", "/api/instances/i-1"), kAnnouncement));
+  BOOST_TEST(call.status.id.get() == "i-1");
+  BOOST_TEST(call.status.born_ms == 1700U);
+  BOOST_TEST(call.status.sequence == 4U);
+  BOOST_TEST(!call.status.is_leaving);
+  BOOST_TEST(call.status.models.at(0).adapters.at(0).get() == "a1");
+  BOOST_TEST(call.status.on_disk.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(announcements_of_another_writer_are_refused) {
+  const auto good = std::string(kAnnouncement);
+  BOOST_TEST(!IsAnnouncementRefused(good));
+  for (const auto* name :
+       {"\"service\"", "\"addr\"", "\"zone\"", "\"seq\"", "\"state\""}) {
+    BOOST_TEST_REQUIRE(
+        IsAnnouncementRefused(ReplaceAll(good, name, "\"other\"")));
+  }
+  BOOST_TEST(
+      IsAnnouncementRefused(ReplaceAll(good, "\"ready\"", "\"dozing\"")));
+  BOOST_TEST(
+      IsAnnouncementRefused(ReplaceAll(good, "\"seq\":4", "\"seq\":\"4\"")));
+  BOOST_TEST(IsAnnouncementRefused(ReplaceAll(good, "1700", "1700.5")));
+  BOOST_TEST(
+      IsAnnouncementRefused(ReplaceAll(good, "\"slots\":64", "\"slots\":[]")));
+  BOOST_TEST(
+      IsAnnouncementRefused(ReplaceAll(good, "10.0.0.9:8080", "nowhere")));
+  BOOST_TEST(IsAnnouncementRefused("\xff\xfe\x00not text"));
+  BOOST_TEST(IsAnnouncementRefused("[]"));
+  BOOST_TEST(IsAnnouncementRefused(""));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_goes_on_without_what_only_the_system_sets) {
+  auto caller = MakeCall("POST", "/a/b?q=1");
+  caller.fields = {{"Host", "h:80"},
+                   {"Ebonythread-Request-Id", "id-1"},
+                   {"Ebonythread-Model", "m/a3"},
+                   {"Ebonythread-Token-Counts", "1460,80"},
+                   {"Ebonythread-Prompt-Prefix", "5c:800,91:410"},
+                   {"Ebonythread-Deadline-Ms", "1500"},
+                   {"Ebonythread-Hold", "x"},
+                   {"ebonythread-pin-ms", "9"},
+                   {"Ebonythread-Kv-Backup", "1.2.3.4:5"},
+                   {"Kv-From", "1.2.3.4:5/6"},
+                   {"Ebonythread-Expect-Instance", "i-9"},
+                   {"Connection", "keep-alive, X-Hop"},
+                   {"X-Hop", "1"},
+                   {"X-Kept", "yes"},
+                   {"Content-Length", "3"}};
+  const auto terms = DecodeCallerRequest(caller);
+  BOOST_TEST(terms.host == "h");
+  BOOST_TEST(terms.path == "/a/b");
+  BOOST_TEST(terms.model.get() == "m");
+  BOOST_TEST(terms.adapter.get() == "a3");
+  BOOST_TEST(terms.prompt_tokens == 1460U);
+  BOOST_TEST(terms.prompt.at(1).id == 0x91U);
+  BOOST_TEST((terms.deadline == std::chrono::milliseconds(1500)));
+
+  auto forward = forward_terms();
+  forward.instance = backend_name("i-1");
+  forward.time_left = std::chrono::milliseconds(700);
+  const auto head = MakeForwardedHead(caller, forward, 3);
+  BOOST_TEST(head.target == "/a/b?q=1");
+  BOOST_TEST(*head.Find("Ebonythread-Expect-Instance") == "i-1");
+  BOOST_TEST(*head.Find("Ebonythread-Deadline-Ms") == "700");
+  BOOST_TEST(*head.Find("Ebonythread-Model") == "m/a3");
+  BOOST_TEST(*head.Find("X-Kept") == "yes");
+  BOOST_TEST(*head.Find("Content-Length") == "3");
+  for (const auto* gone :
+       {"Ebonythread-Hold", "Ebonythread-Pin-Ms", "Ebonythread-Kv-Backup",
+        "Kv-From", "Connection", "X-Hop"}) {
+    BOOST_TEST_REQUIRE(head.Find(gone) == nullptr);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_server_states_what_has_not_run) {
+  auto head = http_head();
+  head.status = 503;
+  BOOST_TEST(!DecodeServerAnswer(head).not_run);
+  head.fields = {{"Ebonythread-Not-Run", "1"}};
+  BOOST_TEST(DecodeServerAnswer(head).not_run);
+  head.fields = {{"Ebonythread-Instance-Id", "i-2"}};
+  head.status = 421;
+  BOOST_TEST(DecodeServerAnswer(head).not_run);
+  BOOST_TEST(DecodeServerAnswer(head).instance.get() == "i-2");
+}
+
+BOOST_AUTO_TEST_CASE(the_answer_keeps_status_and_signature) {
+  auto head = http_head();
+  head.status = 500;
+  head.fields = {{"Ebonythread-Response-Seal", "3e1b"},
+                 {"Connection", "close"},
+                 {"Content-Length", "4"},
+                 {"Keep-Alive", "timeout=3"}};
+  const auto answer = MakeCallerHead(head);
+  BOOST_TEST(answer.status == 500);
+  BOOST_TEST(*answer.Find("Ebonythread-Response-Seal") == "3e1b");
+  BOOST_TEST(answer.Find("Connection") == nullptr);
+  BOOST_TEST(answer.Find("Keep-Alive") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(an_order_names_holder_fence_and_expected_count) {
+  auto call = placement_call();
+  call.model = model_name("m");
+  call.adapter = adapter_name("a3");
+  call.holder = vm_name("core-1");
+  call.fencing_number = 41;
+  call.expected_orders = 2;
+  auto server = backend_status();
+  server.id = backend_name("i-1");
+  server.address = host_port("10.0.0.9:8080");
+  const auto text = RenderPlacementCall(call, server);
+  for (const auto* part :
+       {"POST /api/order HTTP/1.1", "\"op\":\"load\"", "\"model\":\"m\"",
+        "\"adapter\":\"a3\"", "\"holder\":\"core-1\"", "\"fence\":41",
+        "\"expected\":2", "Ebonythread-Expect-Instance: i-1"}) {
+    BOOST_TEST_REQUIRE(text.find(part) != std::string::npos);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_report_that_cannot_be_read_is_no_report) {
+  BOOST_TEST(
+      DecodeReport(R"({"busy":false,"seq":2,"models":[]})")->accepted_orders ==
+      2U);
+  BOOST_TEST(!DecodeReport(R"({"busy":"no","seq":2})").has_value());
+  BOOST_TEST(!DecodeReport("garbage").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace ebony::testing
