Syncs of 50 ms, prompts waiting at an engine bounded, configurations decoded once

After a power loss coordinators decoded every configuration of the log again. Change: a gateway sends a prompt only while fewer than 3500 prompt tokens wait at the server, or after it has waited; loads are exchanged each 50 ms (8 ms for each gateway where they are many).

--- a/entry/server_board.cc
+++ b/entry/server_board.cc
@@ -50,9 +50,14 @@
 
 auto server_board::HasRoom(const backend_status& status,
                            const server_query& query) -> bool {
+  const auto load = GetLoad(status.id);
   const auto fill =
       query.is_engine ? options_.engine_fill : options_.plain_fill;
-  return GetLoad(status.id).requests < status.slots * fill;
+  if (load.requests >= status.slots * fill) {
+    return false;
+  }
+  return !query.is_engine || query.ignores_prefill || load.tokens <= 0 ||
+         load.tokens + query.prompt_tokens <= options_.max_prefill_tokens;
 }
 
 auto server_board::DropEjected(std::vector<const backend_record*>& candidates,
--- a/entry/server_board.h
+++ b/entry/server_board.h
@@ -22,6 +22,9 @@
   double plain_fill = 2.0;
   // Requests for each batch slot of an engine that may be under way.
   double engine_fill = 1.0;
+  // Prompt tokens that may wait to be read at one engine; more of them hold up
+  // the events of the streams that it is writing.
+  double max_prefill_tokens = 3500;
   int failures_to_eject = 3;
   duration eject_min = std::chrono::milliseconds(500);
   duration eject_max = std::chrono::seconds(8);
@@ -34,6 +37,9 @@
   bool is_engine = false;
   model_name model;
   adapter_name adapter;
+  double prompt_tokens = 0;
+  // The request has waited long enough: only the slots count.
+  bool ignores_prefill = false;
   const std::set<backend_name>* avoid = nullptr;  // tried before
 };
 
--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -79,18 +79,24 @@
     -> void {
   config_ = {number, std::move(body)};
   decoded_.reset();
-  if (config_.body.empty()) {
-    return;
-  }
-  try {
-    decoded_ =
-        std::make_shared<site_config>(platform::DecodeConfig(config_.body));
-  } catch (const ebony_error& error) {
-    // Checked before it was proposed, so only another build can get here.
-    log_.Write(line_weight::state, "config_unreadable",
-               {{"number", static_cast<std::int64_t>(number.get())},
-                {"error", error.what()}});
+}
+
+// Decoded when it is first asked for: a restart applies many configurations in
+// a row, and only the last one matters.
+auto coordinator_daemon::GetDecoded() -> const site_config* {
+  if (decoded_ == nullptr && !config_.body.empty()) {
+    try {
+      decoded_ = std::make_unique<site_config>(
+          platform::DecodeConfig(config_.body));
+    } catch (const ebony_error& error) {
+      // Checked before it was proposed, so only another build can get here.
+      log_.Write(line_weight::state, "config_unreadable",
+                 {{"number", static_cast<std::int64_t>(config_.number.get())},
+                  {"error", error.what()}});
+      decoded_ = std::make_unique<site_config>();
+    }
   }
+  return decoded_.get();
 }
 
 // The highest number wins; the same or a lower one changes nothing.
@@ -514,8 +520,8 @@
     log_.Write(line_weight::state, "backend_suspected",
                {{"backend", id.get()}});
   }
-  if (decoded_ != nullptr) {
-    orders_.Tick(*decoded_);
+  if (const auto* config = GetDecoded()) {
+    orders_.Tick(*config);
   }
 }
 
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -44,7 +44,7 @@
   metrics& metrics_;
   http_pool pool_;
   held_config config_;
-  std::shared_ptr<const site_config> decoded_;
+  std::unique_ptr<site_config> decoded_;
   quorum_node quorum_;
   backend_registry registry_;
   gateway_registry gateways_;
@@ -63,6 +63,7 @@
   auto MakeState() -> replicated_state;
   auto ApplyEntry(const log_entry& entry) -> void;
   auto SetConfig(config_number number, std::string body) -> void;
+  auto GetDecoded() -> const site_config*;
   auto AnswerPuts(log_index applied) -> void;
 
   // Calls from outside.
--- a/main/gateway_link.cc
+++ b/main/gateway_link.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr duration kInterval = std::chrono::milliseconds(200);
+constexpr duration kInterval = std::chrono::milliseconds(50);
 // The interval grows with the number of gateways, so that the leader's work
 // does not: this is the leader's share for each gateway.
 constexpr duration kIntervalPerGateway = std::chrono::milliseconds(8);
--- a/main/quorum_node.cc
+++ b/main/quorum_node.cc
@@ -24,7 +24,7 @@
 constexpr duration kJoinerMemory = std::chrono::seconds(3);
 constexpr duration kWriteRetry = std::chrono::milliseconds(200);
 constexpr duration kLostDiskAfter = std::chrono::milliseconds(600);
-constexpr std::uint64_t kCompactBytes = 4 * 1024 * 1024;  // of log on the disk
+constexpr std::uint64_t kCompactBytes = 512 * 1024;  // of log on the disk
 constexpr std::size_t kMinVoterTarget = 5;
 constexpr const char* kFirstDisk = ".0";
 
--- a/main/relay_session.cc
+++ b/main/relay_session.cc
@@ -78,6 +78,8 @@
   query.is_engine = IsEngine();
   query.model = terms_.model;
   query.adapter = terms_.adapter;
+  query.prompt_tokens = static_cast<double>(terms_.prompt_tokens);
+  query.ignores_prefill = has_waited_;
   query.avoid = &tried_;
   return query;
 }
--- a/main/relay_session.h
+++ b/main/relay_session.h
@@ -71,6 +71,7 @@
   // Waiting.
   std::optional<wait_place> place_;
   timer_id wait_timer_;
+  bool has_waited_ = false;
   server_verdict wait_reason_ = server_verdict::busy;
 
   // The attempt under way.
@@ -105,6 +106,7 @@
   auto TryDispatch() -> void;
   auto Wait(server_verdict reason) -> void;
   auto GetWaitLimit(server_verdict reason) const -> duration;
+  auto OnWaited() -> void;
   auto StopWaiting() -> void;
   auto Dispatch(const backend_status& server) -> void;
   auto MakeHooks() -> call_hooks;
