--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -53,7 +53,9 @@
       pool_(loop),
       quorum_(settings_, loop, pool_, log, counters, MakeState()),
       registry_(backend_registry_options()),
-      orders_(settings_, loop, pool_, log, counters, registry_) {}
+      orders_(settings_, loop, pool_, log, counters, registry_, [this] {
+        loop_.AddTimerIn(duration(0), [this] { TickOrders(); });
+      }) {}
 
 auto coordinator_daemon::MakeState() -> replicated_state {
   auto state = replicated_state();
@@ -86,8 +88,8 @@
 auto coordinator_daemon::GetDecoded() -> const site_config* {
   if (decoded_ == nullptr && !config_.body.empty()) {
     try {
-      decoded_ = std::make_unique<site_config>(
-          platform::DecodeConfig(config_.body));
+      decoded_ =
+          std::make_unique<site_config>(platform::DecodeConfig(config_.body));
     } catch (const ebony_error& error) {
       // Checked before it was proposed, so only another build can get here.
       log_.Write(line_weight::state, "config_unreadable",
@@ -170,6 +172,12 @@
   Answer(answer, kOk, platform::EncodeAnnounceAnswer(next));
 }
 
+auto coordinator_daemon::NoteAnnouncement(backend_status status)
+    -> announce_verdict {
+  orders_.Correct(status);
+  return registry_.Announce(status, loop_.get_now());
+}
+
 auto coordinator_daemon::OnAnnounce(const backend_status& status,
                                     const answer_pointer& answer) -> void {
   if (!quorum_.is_leader()) {
@@ -179,7 +187,7 @@
     PassToLeader(ToSchema(record, loop_.get_now()), answer);
     return;
   }
-  const auto verdict = registry_.Announce(status, loop_.get_now());
+  const auto verdict = NoteAnnouncement(status);
   if (verdict == announce_verdict::changed) {
     log_.Write(line_weight::state, "backend_announced",
                {{"backend", status.id.get()},
@@ -262,7 +270,7 @@
     if (record.is_gone) {
       registry_.Leave(record.status.id, record.status.born_ms, loop_.get_now());
     } else {
-      registry_.Announce(record.status, loop_.get_now());
+      NoteAnnouncement(record.status);
     }
   }
   Answer(answer, kOk, {});
@@ -520,7 +528,12 @@
     log_.Write(line_weight::state, "backend_suspected",
                {{"backend", id.get()}});
   }
-  if (const auto* config = GetDecoded()) {
+  TickOrders();
+}
+
+auto coordinator_daemon::TickOrders() -> void {
+  const auto* config = GetDecoded();
+  if (config != nullptr && quorum_.is_leader()) {
     orders_.Tick(*config);
   }
 }
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -70,6 +70,7 @@
   auto OnControlCall(http_call_in call, const answer_pointer& answer) -> void;
   auto OnDirectoryCall(const http_call_in& call, const answer_pointer& answer)
       -> void;
+  auto NoteAnnouncement(backend_status status) -> announce_verdict;
   auto OnAnnounce(const backend_status& status, const answer_pointer& answer)
       -> void;
   auto OnLeave(const platform::leave_call& call, const answer_pointer& answer)
@@ -100,6 +101,7 @@
 
   auto Tick() -> void;
   auto TickLeader() -> void;
+  auto TickOrders() -> void;
   auto FollowLeader() -> void;
   auto OnFollowed(const std::string& body) -> void;
 
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -110,6 +110,7 @@
     row->set_adapter(std::get<adapter_name>(key).get());
     row->set_arrived(count.arrived);
     row->set_refused(count.missed);
+    row->set_prompt_tokens(count.prompt_tokens);
   }
   demand_.clear();
   return request;
--- a/main/order_desk.cc
+++ b/main/order_desk.cc
@@ -1,6 +1,7 @@
 #include "main/order_desk.h"
 
 #include <algorithm>
+#include <list>
 #include <utility>
 
 #include "platform/control_codec.h"
@@ -18,9 +19,32 @@
 constexpr duration kRefusedPause = std::chrono::milliseconds(400);
 // Added to the order lease, for what the clocks and links may differ.
 constexpr duration kLeaseMargin = std::chrono::milliseconds(500);
+// From the answer to an adapter's order until the adapter can be used.
+constexpr duration kAdapterArrival = std::chrono::milliseconds(15);
 constexpr int kAccepted = 202;
 constexpr int kHeldAlready = 200;
 
+auto CountAdapters(const std::vector<held_model>& held) -> std::size_t {
+  auto count = std::size_t{0};
+  for (const auto& model : held) {
+    count += model.adapters.size();
+  }
+  return count;
+}
+
+auto ApplyAdapter(std::vector<held_model>& held, const model_order& order)
+    -> void {
+  for (auto& model : held) {
+    if (model.name != order.model) {
+      continue;
+    }
+    std::erase(model.adapters, order.adapter);
+    if (order.is_load) {
+      model.adapters.push_back(order.adapter);
+    }
+  }
+}
+
 }  // namespace
 
 order_desk::order_desk(const site_settings& settings,
@@ -28,13 +52,15 @@
                        http_pool& pool,
                        event_log& log,
                        metrics& counters,
-                       backend_registry& registry)
+                       backend_registry& registry,
+                       std::function<void()> on_free)
     : settings_(settings),
       loop_(loop),
       pool_(pool),
       log_(log),
       metrics_(counters),
       registry_(registry),
+      on_free_(std::move(on_free)),
       planner_(model_planner_options()) {}
 
 auto order_desk::StartLeading(std::uint64_t term) -> void {
@@ -57,8 +83,13 @@
 }
 
 auto order_desk::NoteDemand(const schema::demand_row& row) -> void {
-  planner_.NoteDemand(model_name(row.model()), adapter_name(row.adapter()),
-                      row.arrived(), row.refused() > 0, loop_.get_now());
+  auto demand = model_demand_note();
+  demand.model = model_name(row.model());
+  demand.adapter = adapter_name(row.adapter());
+  demand.requests = row.arrived();
+  demand.prompt_tokens = static_cast<double>(row.prompt_tokens());
+  demand.is_missing = row.refused() > 0;
+  planner_.NoteDemand(demand, loop_.get_now());
 }
 
 auto order_desk::GetDesk(const backend_status& status) -> desk_entry& {
@@ -94,18 +125,25 @@
   hooks.on_whole = [this, id, body] {
     Finish(id);
     const auto report = platform::DecodeReport(*body);
-    auto& desk_now = desks_[id];
     if (!report || report->is_busy) {
-      desk_now.not_before = loop_.get_now() + kRefusedPause;
+      Forget(id, kRefusedPause);
       return;
     }
-    desk_now.accepted = report->accepted_orders;
-    registry_.Update(
-        id, [&](backend_status& known) { known.models = report->models; });
+    auto& known = desks_[id];
+    known.accepted = report->accepted_orders;
+    known.held = report->models;
+    known.leaving = model_name();
+    Publish(id);
+    log_.Write(
+        line_weight::state, "backend_reported",
+        {{"backend", id.get()},
+         {"accepted", static_cast<std::int64_t>(report->accepted_orders)},
+         {"models", static_cast<std::int64_t>(known.held.size())},
+         {"adapters", static_cast<std::int64_t>(CountAdapters(known.held))}});
   };
   hooks.on_failed = [this, id](call_failure) {
     Finish(id);
-    desks_[id].not_before = loop_.get_now() + kRefusedPause;
+    Forget(id, kRefusedPause);
   };
   metrics_.Count("ebony_report_calls_total");
   desk.call = pool_.Start(status.address, platform::RenderReportCall(status),
@@ -115,7 +153,7 @@
       desks_[id].call->Cancel();
     }
     Finish(id);
-    desks_[id].not_before = loop_.get_now() + kUnansweredPause;
+    Forget(id, kUnansweredPause);
   });
 }
 
@@ -131,9 +169,9 @@
   call.fencing_number = fencing_number_;
   call.holder = settings_.vm;
   call.expected_orders = desk.accepted;
-  if (!order.is_load) {
-    // No gateway should send to what is about to go.
-    Note(id, order);
+  if (!order.is_load && order.adapter.get().empty()) {
+    desk.leaving = order.model;
+    Publish(id);
   }
   const auto code = std::make_shared<int>(0);
   auto hooks = call_hooks();
@@ -158,30 +196,42 @@
   });
 }
 
-// Writes an order's effect into the registry ahead of the announcement.
-auto order_desk::Note(const backend_name& id, const model_order& order)
-    -> void {
-  registry_.Update(id, [&order](backend_status& status) {
-    auto& models = status.models;
-    const auto held = std::find_if(
-        models.begin(), models.end(),
-        [&order](const held_model& item) { return item.name == order.model; });
-    if (order.adapter.get().empty()) {
-      if (!order.is_load && held != models.end()) {
-        models.erase(held);
-      }
-      return;  // a loaded model shows in the announcement that ends the load
-    }
-    if (held == models.end()) {
-      return;
-    }
-    std::erase(held->adapters, order.adapter);
-    if (order.is_load) {
-      held->adapters.push_back(order.adapter);
-    }
+auto order_desk::Correct(backend_status& status) const -> void {
+  const auto found = desks_.find(status.id);
+  if (found == desks_.end() || found->second.born_ms != status.born_ms) {
+    return;
+  }
+  const auto& desk = found->second;
+  if (desk.accepted) {
+    status.models = desk.held;
+  }
+  // No gateway should send to a model that is about to go.
+  std::erase_if(status.models, [&desk](const held_model& model) {
+    return model.name == desk.leaving;
   });
 }
 
+auto order_desk::Publish(const backend_name& id) -> void {
+  const auto* record = registry_.Find(id);
+  if (record == nullptr) {
+    return;
+  }
+  auto corrected = record->status;
+  Correct(corrected);
+  if (corrected.models != record->status.models) {
+    registry_.Update(id, [&corrected](backend_status& status) {
+      status.models = corrected.models;
+    });
+  }
+}
+
+// What the server holds has to be asked for again before its next order.
+auto order_desk::Forget(const backend_name& id, duration pause) -> void {
+  auto& desk = desks_[id];
+  desk.accepted.reset();
+  desk.not_before = loop_.get_now() + pause;
+}
+
 auto order_desk::OnAnswer(const backend_name& id,
                           const model_order& order,
                           int status) -> void {
@@ -195,31 +245,33 @@
        {"adapter", order.adapter.get()},
        {"expected", static_cast<std::int64_t>(desk.accepted.value_or(0))},
        {"status", static_cast<std::int64_t>(status)}});
-  if (status != kAccepted && status != kHeldAlready) {
-    desk.accepted.reset();
-    desk.not_before = loop_.get_now() + kRefusedPause;
-    return;
-  }
-  if (order.adapter.get().empty()) {
-    // Its count and what it holds are asked for again once it is done.
-    desk.accepted.reset();
-    desk.not_before = loop_.get_now() + kRefusedPause;
+  const auto is_done = status == kAccepted || status == kHeldAlready;
+  if (!is_done || order.adapter.get().empty()) {
+    // A model's load or unload shows in the server's report once it is over.
+    Forget(id, kRefusedPause);
     return;
   }
   if (status == kAccepted || !order.is_load) {
     desk.accepted = *desk.accepted + 1;
   }
-  if (order.is_load) {
-    Note(id, order);
+  ApplyAdapter(desk.held, order);
+  if (!order.is_load) {
+    Publish(id);
+    on_free_();
+    return;
   }
+  desk.is_open = true;  // until the adapter has arrived
+  loop_.AddTimerIn(kAdapterArrival, [this, id] {
+    Finish(id);
+    Publish(id);
+    on_free_();
+  });
 }
 
 auto order_desk::OnNoAnswer(const backend_name& id, const model_order& order)
     -> void {
   Finish(id);
-  auto& desk = desks_[id];
-  desk.accepted.reset();
-  desk.not_before = loop_.get_now() + kUnansweredPause;
+  Forget(id, kUnansweredPause);
   metrics_.Count("ebony_orders_unanswered_total");
   log_.Write(line_weight::state, "order_unanswered",
              {{"backend", id.get()},
@@ -241,6 +293,8 @@
       continue;
     }
     auto servers = std::vector<planner_server>();
+    // As the planner sees them: with what they hold for sure.
+    auto views = std::list<backend_status>();
     for (const auto& [id, record] : registry_.get_records()) {
       const auto& status = record.status;
       if (status.service != name || record.is_gone || record.is_suspected ||
@@ -249,8 +303,13 @@
       }
       auto& desk = GetDesk(status);
       const auto is_waiting = desk.is_open || now < desk.not_before;
-      servers.push_back(
-          {&status, loads_[id], is_waiting || !desk.accepted.has_value()});
+      Publish(id);
+      views.push_back(status);
+      if (desk.accepted) {
+        views.back().models = desk.held;
+      }
+      servers.push_back({&views.back(), loads_[id],
+                         is_waiting || !desk.accepted.has_value()});
     }
     const auto orders = planner_.Plan(*service.engine, servers, now);
     for (const auto& order : orders) {
--- a/main/order_desk.h
+++ b/main/order_desk.h
@@ -1,9 +1,11 @@
 #ifndef EBONY_MAIN_ORDER_DESK_H_
 #define EBONY_MAIN_ORDER_DESK_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "control/model_planner.h"
 #include "core/backend_registry.h"
@@ -22,7 +24,11 @@
   // What is known of the orders of one start of a server.
   struct desk_entry {
     std::uint64_t born_ms = 0;
-    std::optional<std::uint64_t> accepted;  // orders that the server counts
+    // Orders that the server has accepted, and what it holds after these;
+    // nothing while that is not known for sure.
+    std::optional<std::uint64_t> accepted;
+    std::vector<held_model> held;
+    model_name leaving;  // a model whose unload was ordered
     std::unique_ptr<http_call> call;
     timer_id timeout;
     bool is_open = false;  // a call is under way
@@ -35,6 +41,7 @@
   event_log& log_;
   metrics& metrics_;
   backend_registry& registry_;
+  std::function<void()> on_free_;  // a server may get its next order
   std::map<backend_name, desk_entry> desks_;
   std::map<backend_name, double> loads_;  // requests under way
   model_planner planner_;
@@ -48,7 +55,9 @@
   auto OnAnswer(const backend_name& id, const model_order& order, int status)
       -> void;
   auto OnNoAnswer(const backend_name& id, const model_order& order) -> void;
-  auto Note(const backend_name& id, const model_order& order) -> void;
+  // Tells gateways what a server holds, where that is known better here.
+  auto Publish(const backend_name& id) -> void;
+  auto Forget(const backend_name& id, duration pause) -> void;
   auto Finish(const backend_name& id) -> void;
 
  public:
@@ -57,10 +66,13 @@
              http_pool& pool,
              event_log& log,
              metrics& counters,
-             backend_registry& registry);
+             backend_registry& registry,
+             std::function<void()> on_free);
 
   auto StartLeading(std::uint64_t term) -> void;
   auto StopLeading() -> void;
+  // Brings what a server says up to what was ordered since.
+  auto Correct(backend_status& status) const -> void;
   auto NoteDemand(const schema::demand_row& row) -> void;
   auto NoteLoad(const backend_name& id, double requests) -> void;
   // Plans and sends what is due.
--- a/main/relay_session.cc
+++ b/main/relay_session.cc
@@ -21,7 +21,8 @@
 constexpr duration kAdapterWait = std::chrono::milliseconds(500);
 // A stream that has begun waits this long for a server that goes on with it.
 constexpr duration kResumeWait = std::chrono::seconds(2);
-constexpr duration kModelReturn = std::chrono::milliseconds(2500);
+// From a miss to the start of the load.
+constexpr duration kLoadNotice = std::chrono::milliseconds(300);
 // An idempotent request goes elsewhere after this many objectives.
 constexpr int kStallObjectives = 3;
 constexpr duration kShortestStall = std::chrono::milliseconds(250);
@@ -59,7 +60,10 @@
       context_.loop.AddTimer(deadline_, [self] { self->OnDeadline(); });
   context_.repeats.OnRequest(service_.name, context_.loop.get_now());
   if (IsEngine()) {
-    ++context_.demand[{service_.name, terms_.model, terms_.adapter}].arrived;
+    auto& count =
+        context_.demand[{service_.name, terms_.model, terms_.adapter}];
+    ++count.arrived;
+    count.prompt_tokens += terms_.prompt_tokens;
   }
   if (rule_.is_stream && context_.refuses_streams()) {
     Refuse(error_kind::draining, std::chrono::milliseconds(100));
@@ -105,6 +109,19 @@
   }
 }
 
+// How long the model takes to get to a server that does not hold it.
+auto relay_session::GetLoadTime() const -> duration {
+  if (!IsEngine()) {
+    return duration(0);
+  }
+  for (const auto& model : service_.engine->models) {
+    if (model.name == terms_.model) {
+      return model.load_from_store + kLoadNotice;
+    }
+  }
+  return duration(0);
+}
+
 auto relay_session::GetWaitLimit(server_verdict reason) const -> duration {
   if (answer_->has_begun()) {
     return kResumeWait;
@@ -132,7 +149,7 @@
   const auto refuse_absent = reason != server_verdict::busy;
   if (limit <= duration(0)) {
     Refuse(refuse_absent ? error_kind::no_backend : error_kind::overloaded,
-           refuse_absent && IsEngine() ? kModelReturn : duration(0));
+           refuse_absent ? GetLoadTime() : duration(0));
     return;
   }
   const auto now = context_.loop.get_now();
--- a/main/relay_session.h
+++ b/main/relay_session.h
@@ -30,6 +30,7 @@
 struct demand_count {
   std::uint32_t arrived = 0;
   std::uint32_t missed = 0;  // found no server that holds it
+  std::uint64_t prompt_tokens = 0;
 };
 using demand_key = std::tuple<service_name, model_name, adapter_name>;
 
@@ -105,6 +106,7 @@
   auto HasAlternative() -> bool;
   auto TryDispatch() -> void;
   auto Wait(server_verdict reason) -> void;
+  auto GetLoadTime() const -> duration;
   auto GetWaitLimit(server_verdict reason) const -> duration;
   auto OnWaited() -> void;
   auto StopWaiting() -> void;
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -256,6 +256,14 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(adapters_on_their_way_count_as_held) {
+  const auto report = DecodeReport(
+      R"({"busy":false,"seq":2,"models":[{"name":"m","version":1,
+          "adapters":["a1"]}],"coming":["m/a7@1"]})");
+  BOOST_TEST_REQUIRE(report->models.at(0).adapters.size() == 2U);
+  BOOST_TEST(report->models.at(0).adapters.at(1).get() == "a7");
+}
+
 BOOST_AUTO_TEST_CASE(a_report_that_cannot_be_read_is_no_report) {
   BOOST_TEST(
       DecodeReport(R"({"busy":false,"seq":2,"models":[]})")->accepted_orders ==
