Load of the other gateways pairs with the report that it answers

Each unanswered sync replaced this gateway's reported load, so its own finished work was counted as the others'. Ruled out: full slots. Change: the others' load is taken when an answer comes, and halves each second without one. A test fails before.

--- a/entry/server_board.cc
+++ b/entry/server_board.cc
@@ -1,6 +1,7 @@
 #include "entry/server_board.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace ebony {
@@ -36,21 +37,24 @@
                    query.adapter) != held->adapters.end();
 }
 
-auto server_board::GetLoad(const backend_name& id) -> server_load {
+auto server_board::GetLoad(const backend_name& id, mono_time now)
+    -> server_load {
   const auto& view = views_[id];
+  const auto age = std::max(duration(0), now - exchanged_);
+  const auto half_lives =
+      static_cast<double>(age.count()) /
+      static_cast<double>(options_.others_half_life.count());
+  const auto weight = std::exp2(-half_lives);
   auto load = server_load();
-  load.requests =
-      std::max(view.own.requests,
-               view.all.requests - view.reported.requests + view.own.requests);
-  load.tokens =
-      std::max(view.own.tokens,
-               view.all.tokens - view.reported.tokens + view.own.tokens);
+  load.requests = view.own.requests + weight * view.others.requests;
+  load.tokens = view.own.tokens + weight * view.others.tokens;
   return load;
 }
 
 auto server_board::HasRoom(const backend_status& status,
-                           const server_query& query) -> bool {
-  const auto load = GetLoad(status.id);
+                           const server_query& query,
+                           mono_time now) -> bool {
+  const auto load = GetLoad(status.id, now);
   const auto fill =
       query.is_engine ? options_.engine_fill : options_.plain_fill;
   if (load.requests >= status.slots * fill) {
@@ -77,12 +81,13 @@
 
 auto server_board::PickLeastLoaded(
     const std::vector<const backend_record*>& candidates,
-    bool is_engine) -> const backend_status* {
+    bool is_engine,
+    mono_time now) -> const backend_status* {
   const backend_status* best = nullptr;
   auto best_score = 0.0;
   auto alike = std::uint64_t{0};
   for (const auto* record : candidates) {
-    const auto load = GetLoad(record->status.id);
+    const auto load = GetLoad(record->status.id, now);
     const auto work = is_engine
                           ? load.requests + load.tokens / kTokensPerRequest
                           : load.requests;
@@ -129,12 +134,12 @@
   }
   DropEjected(all, now);
   std::erase_if(all, [&](const backend_record* record) {
-    return !HasRoom(record->status, query);
+    return !HasRoom(record->status, query, now);
   });
   if (all.empty()) {
     return {server_verdict::busy, nullptr};
   }
-  return {server_verdict::chosen, PickLeastLoaded(all, query.is_engine)};
+  return {server_verdict::chosen, PickLeastLoaded(all, query.is_engine, now)};
 }
 
 auto server_board::OnStarted(const backend_name& id, double tokens) -> void {
@@ -199,13 +204,17 @@
   return report;
 }
 
-auto server_board::SetAllLoads(const std::map<backend_name, server_load>& loads)
-    -> void {
+auto server_board::SetAllLoads(const std::map<backend_name, server_load>& loads,
+                               mono_time now) -> void {
+  exchanged_ = now;
   for (auto& [id, view] : views_) {
-    view.all = server_load();
+    view.others = server_load();
   }
   for (const auto& [id, load] : loads) {
-    views_[id].all = load;
+    auto& view = views_[id];
+    view.others.requests =
+        std::max(0.0, load.requests - view.reported.requests);
+    view.others.tokens = std::max(0.0, load.tokens - view.reported.tokens);
   }
 }
 
--- a/entry/server_board.h
+++ b/entry/server_board.h
@@ -30,6 +30,8 @@
   duration eject_max = std::chrono::seconds(8);
   // No more than this part of the candidates is ejected at a time.
   double max_ejected_part = 0.5;
+  // What others had under way is halved after each such time without news.
+  duration others_half_life = std::chrono::milliseconds(1000);
 };
 
 struct server_query {
@@ -64,8 +66,8 @@
   using random_source = std::function<std::uint64_t(std::uint64_t)>;
   struct own_view {
     server_load own;
-    server_load reported;  // of `own`, at the last exchange
-    server_load all;       // of all gateways, at the last exchange
+    server_load reported;  // of `own`, in the exchange under way
+    server_load others;    // of the other gateways, at the last exchange
     int failures = 0;      // in a row
     mono_time ejected_until;
     duration next_ejection{0};
@@ -77,12 +79,16 @@
   random_source random_;
   const backend_registry& registry_;
   std::map<backend_name, own_view> views_;
+  mono_time exchanged_;
 
   auto HoldsModel(const backend_status& status, const server_query& query) const
       -> bool;
-  auto HasRoom(const backend_status& status, const server_query& query) -> bool;
+  auto HasRoom(const backend_status& status,
+               const server_query& query,
+               mono_time now) -> bool;
   auto PickLeastLoaded(const std::vector<const backend_record*>& candidates,
-                       bool is_engine) -> const backend_status*;
+                       bool is_engine,
+                       mono_time now) -> const backend_status*;
   auto DropEjected(std::vector<const backend_record*>& candidates,
                    mono_time now) -> void;
 
@@ -105,9 +111,12 @@
 
   // The exchange of loads with the other gateways.
   auto TakeReport() -> std::map<backend_name, server_load>;
-  auto SetAllLoads(const std::map<backend_name, server_load>& loads) -> void;
-  // Load of a server as this gateway believes it.
-  auto GetLoad(const backend_name& id) -> server_load;
+  // `loads` is the answer to the last report: of all gateways together.
+  auto SetAllLoads(const std::map<backend_name, server_load>& loads,
+                   mono_time now) -> void;
+  // Load of a server as this gateway believes it. What the other gateways had
+  // under way counts less and less while no exchange comes about.
+  auto GetLoad(const backend_name& id, mono_time now) -> server_load;
 };
 
 }  // namespace ebony
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -176,7 +176,7 @@
     loads[backend_name(row.id())] = {static_cast<double>(row.requests()),
                                      static_cast<double>(row.tokens())};
   }
-  board_.SetAllLoads(loads);
+  board_.SetAllLoads(loads, loop_.get_now());
   repeats_.SetGateways(static_cast<std::size_t>(answer.gateways_size()));
   RunWaiting();
 }
--- a/main/relay_session.cc
+++ b/main/relay_session.cc
@@ -220,15 +220,16 @@
   options.connect_time = kConnectTime;
   options.max_idle =
       rule_.repeat == repeat_rule::idempotent ? kAnyIdle : kSafeIdle;
-  context_.log.Write(line_weight::request, "sent",
-                     {{"request", terms_.id.get()},
-                      {"route", rule_.name.get()},
-                      {"model", terms_.model.get()},
-                      {"backend", server_.get()},
-                      {"attempt", static_cast<std::int64_t>(attempts_)},
-                      {"load", static_cast<std::int64_t>(
-                                   context_.board.GetLoad(server_).requests)},
-                      {"left_ms", terms.time_left}});
+  context_.log.Write(
+      line_weight::request, "sent",
+      {{"request", terms_.id.get()},
+       {"route", rule_.name.get()},
+       {"model", terms_.model.get()},
+       {"backend", server_.get()},
+       {"attempt", static_cast<std::int64_t>(attempts_)},
+       {"load", static_cast<std::int64_t>(
+                    context_.board.GetLoad(server_, now).requests)},
+       {"left_ms", terms.time_left}});
   attempt_ = context_.pool.Start(
       server.address, RenderRequestHead(head).append(call_.body),
       call_.head.method == "HEAD", options, MakeHooks());
--- a/tests/gateway_rules_test.cc
+++ b/tests/gateway_rules_test.cc
@@ -280,12 +280,33 @@
   auto board = server_board(server_board_options(), registry,
                             [](std::uint64_t) { return 0; });
   board.TakeReport();
-  board.SetAllLoads({{backend_name("b1"), {3, 0}}});
+  board.SetAllLoads({{backend_name("b1"), {3, 0}}}, At(0));
   auto query = server_query();
   query.service = service_name("s");
   BOOST_TEST(board.Choose(query, At(0)).server->id.get() == "b2");
 }
 
+// Reports that are never answered must not turn into load of others.
+BOOST_AUTO_TEST_CASE(load_is_right_while_no_exchange_comes_about) {
+  auto registry = backend_registry(backend_registry_options());
+  registry.Announce(MakeServer("b1", "m"), At(0));
+  auto board = server_board(server_board_options(), registry,
+                            [](std::uint64_t) { return 0; });
+  const auto id = backend_name("b1");
+  for (auto i = 0; i < 3; ++i) {
+    board.OnStarted(id, 0);
+  }
+  board.TakeReport();
+  board.SetAllLoads({{id, {5, 0}}}, At(0));
+  BOOST_TEST(board.GetLoad(id, At(0)).requests == 5);
+  for (auto i = 0; i < 3; ++i) {
+    board.OnEnded(id, 0);
+    board.TakeReport();
+  }
+  BOOST_TEST(board.GetLoad(id, At(0)).requests == 2);
+  BOOST_TEST(board.GetLoad(id, At(1000)).requests == 1);
+}
+
 BOOST_AUTO_TEST_CASE(ejection_spares_half_of_the_servers) {
   auto registry = backend_registry(backend_registry_options());
   for (const auto* id : {"b1", "b2", "b3", "b4"}) {
