Prompts that waited are sent, short loads are waited for, late requests wait behind

The last copy that serves was unloaded while another was only on its way. Change: OnWaited and WaitLate; waits end well before the caller's patience; victims need a second copy that serves.

--- a/control/model_planner.cc
+++ b/control/model_planner.cc
@@ -68,6 +68,7 @@
   const std::vector<planner_server>& servers;
   std::map<model_name, const catalogue_model*> catalogue;
   std::map<model_name, std::vector<std::size_t>> holders;
+  std::map<model_name, std::size_t> serving;
   std::vector<double> loads;    // seconds of work per second, by server
   std::set<std::size_t> taken;  // got an order in this round
   std::vector<model_order> orders;
@@ -81,10 +82,16 @@
     for (auto i = std::size_t{0}; i < servers.size(); ++i) {
       for (const auto& model : servers[i].status->models) {
         holders[model.name].push_back(i);
+        ++serving[model.name];
       }
     }
   }
 
+  // Copies that serve now, without those on their way.
+  auto CountServing(const model_name& name) const -> std::size_t {
+    const auto found = serving.find(name);
+    return found == serving.end() ? 0 : found->second;
+  }
   auto CountCopies(const model_name& name) const -> std::size_t {
     const auto found = holders.find(name);
     return found == holders.end() ? 0 : found->second.size();
@@ -206,6 +213,7 @@
   plan.holders[move.model->name].push_back(move.server);
   if (move.victim != nullptr) {
     std::erase(plan.holders[move.victim->name], move.server);
+    --plan.serving[move.victim->name];
     plan.Give(move.server, {{}, false, move.victim->name, {}, false});
     return;
   }
@@ -241,7 +249,7 @@
         for (const auto& held : status.models) {
           const auto known = plan.catalogue.find(held.name);
           const auto is_spare =
-              known != plan.catalogue.end() && plan.CountCopies(held.name) > 1;
+              known != plan.catalogue.end() && plan.CountServing(held.name) > 1;
           if (is_spare && (move.victim == nullptr ||
                            GetLoad(held.name) < GetLoad(move.victim->name))) {
             move.victim = known->second;
@@ -335,7 +343,7 @@
       }
       for (const auto& held : status.models) {
         const auto known = plan.catalogue.find(held.name);
-        if (known != plan.catalogue.end() && plan.CountCopies(held.name) > 1 &&
+        if (known != plan.catalogue.end() && plan.CountServing(held.name) > 1 &&
             plan.HasRoom(i, model->weights_mb - known->second->weights_mb)) {
           consider(known->second);
         }
--- a/main/relay_session.cc
+++ b/main/relay_session.cc
@@ -18,6 +18,13 @@
 constexpr duration kConnectTime = std::chrono::milliseconds(400);
 // Part of the objective that a request may wait for room.
 constexpr double kBusyWaitPart = 0.5;
+// Callers leave a silent stream after the longest of these.
+constexpr duration kShortestPatience = std::chrono::seconds(2);
+constexpr int kPatienceObjectives = 4;
+constexpr int kPatienceGaps = 8;
+// A late request waits for this part of what is left, behind every rank.
+constexpr int kLateWaitPart = 4;
+constexpr int kLateRank = 100;
 constexpr duration kAdapterWait = std::chrono::milliseconds(500);
 // A stream that has begun waits this long for a server that goes on with it.
 constexpr duration kResumeWait = std::chrono::seconds(2);
@@ -109,6 +116,15 @@
   }
 }
 
+// How long a caller waits for the first event of a stream before it leaves.
+auto relay_session::GetPatience() const -> duration {
+  if (!rule_.is_stream) {
+    return rule_.time_limit;
+  }
+  return std::max({kShortestPatience, rule_.objective * kPatienceObjectives,
+                   rule_.event_gap * kPatienceGaps});
+}
+
 // How long the model takes to get to a server that does not hold it.
 auto relay_session::GetLoadTime() const -> duration {
   if (!IsEngine()) {
@@ -130,9 +146,17 @@
     return duration(static_cast<duration::rep>(
         kBusyWaitPart * static_cast<double>(rule_.objective.count())));
   }
-  const auto is_adapter = IsEngine() && !terms_.adapter.get().empty();
-  return reason == server_verdict::absent && is_adapter ? kAdapterWait
-                                                        : duration(0);
+  if (reason != server_verdict::absent || !IsEngine()) {
+    return duration(0);
+  }
+  if (!terms_.adapter.get().empty()) {
+    return kAdapterWait;
+  }
+  // A load that ends soon is waited for here; for a long one it is better to
+  // come back.
+  const auto load = GetLoadTime();
+  const auto longest = std::min(GetTimeLeft(), GetPatience()) / 2;
+  return load + kLoadNotice <= longest ? load + kLoadNotice : duration(0);
 }
 
 auto relay_session::Wait(server_verdict reason) -> void {
@@ -163,13 +187,45 @@
     Refuse(error_kind::overloaded, duration(0));
     return;
   }
-  wait_timer_ = context_.loop.AddTimerIn(limit, [self = shared_from_this()] {
-    self->StopWaiting();
-    self->Refuse(self->wait_reason_ == server_verdict::busy
-                     ? error_kind::overloaded
-                     : error_kind::no_backend,
-                 duration(0));
-  });
+  wait_timer_ = context_.loop.AddTimerIn(
+      limit, [self = shared_from_this()] { self->OnWaited(); });
+}
+
+// The wait is over: it goes to whatever server still has a slot.
+auto relay_session::OnWaited() -> void {
+  const auto was_late = has_waited_;
+  has_waited_ = true;
+  TryDispatch();
+  if (is_done_ || !place_) {
+    return;
+  }
+  StopWaiting();
+  if (!was_late && wait_reason_ == server_verdict::busy) {
+    WaitLate();
+    return;
+  }
+  Refuse(wait_reason_ == server_verdict::busy ? error_kind::overloaded
+                                              : error_kind::no_backend,
+         duration(0));
+}
+
+// Too late for its objective, it gets what room the others leave, for a while:
+// a late answer is better than none, but not at the price of those in time.
+auto relay_session::WaitLate() -> void {
+  const auto limit = std::min(GetTimeLeft(), GetPatience()) / kLateWaitPart;
+  auto displaced = std::shared_ptr<relay_session>();
+  place_ = context_.waiting.Add(rule_.rank + kLateRank,
+                                context_.loop.get_now() + limit,
+                                shared_from_this(), displaced);
+  if (displaced != nullptr) {
+    displaced->Displace();
+  }
+  if (!place_) {
+    Refuse(error_kind::overloaded, duration(0));
+    return;
+  }
+  wait_timer_ = context_.loop.AddTimerIn(
+      limit, [self = shared_from_this()] { self->OnWaited(); });
 }
 
 auto relay_session::StopWaiting() -> void {
--- a/main/relay_session.h
+++ b/main/relay_session.h
@@ -106,9 +106,11 @@
   auto HasAlternative() -> bool;
   auto TryDispatch() -> void;
   auto Wait(server_verdict reason) -> void;
+  auto GetPatience() const -> duration;
   auto GetLoadTime() const -> duration;
   auto GetWaitLimit(server_verdict reason) const -> duration;
   auto OnWaited() -> void;
+  auto WaitLate() -> void;
   auto StopWaiting() -> void;
   auto Dispatch(const backend_status& server) -> void;
   auto MakeHooks() -> call_hooks;
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -339,6 +339,66 @@
   world.RunUntil([&] { return !world.syncs.back().ready(); });
 }
 
+// The load: several long prompts for one engine at once. They are read one
+// after another, and each is sent all the same once it has waited.
+BOOST_AUTO_TEST_CASE(prompts_wait_for_each_other_and_none_is_refused) {
+  auto world = gateway_world(1);
+  world.SetEngine(0, {"m"}, 8);
+  for (auto i = 0; i < 3; ++i) {
+    world.ExpectNext({{}, ending::hang});
+  }
+  const auto fields = std::string(
+      "Ebonythread-Model: m\r\nEbonythread-Token-Counts: 3000,10\r\n");
+  for (const auto* id : {"a", "b", "c"}) {
+    world.Call(MakeRequest("model", id, fields, "prompt"));
+  }
+  world.RunUntil([&] { return CountArrived(world) >= 1; });
+  world.RunFor(milliseconds(30));
+  BOOST_TEST(CountArrived(world) == 1U);
+  world.RunUntil([&] { return CountArrived(world) == 3; });
+}
+
+// Without a free slot a request waits past its objective, then gets an answer
+// that is true and says when to come back.
+BOOST_AUTO_TEST_CASE(a_full_engine_refuses_in_the_end) {
+  auto world = gateway_world(1);
+  world.SetEngine(0, {"m"}, 1);
+  world.ExpectNext({{}, ending::hang});
+  const auto fields = std::string("Ebonythread-Model: m\r\n");
+  world.Call(MakeRequest("model", "a", fields, "prompt"));
+  world.RunUntil([&] { return CountArrived(world) == 1; });
+  const auto view = world.Call(MakeRequest("model", "b", fields, "prompt"));
+  world.RunUntil([&] { return view->is_whole; });
+  BOOST_TEST(view->status == 503);
+  BOOST_TEST(view->head.Find("Retry-After") != nullptr);
+  BOOST_TEST(CountArrived(world) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_model_that_comes_soon_is_waited_for) {
+  auto world = gateway_world(1);
+  world.SetEngine(0, {"n"}, 4);
+  const auto view = world.Call(
+      MakeRequest("model", "a", "Ebonythread-Model: m\r\n", "prompt"));
+  world.RunUntil([&] {
+    return !world.syncs.back().demands().empty() &&
+           world.syncs.back().demands(0).refused() == 1;
+  });
+  BOOST_TEST(!view->is_whole);
+  world.SetEngine(0, {"n", "m"}, 4);
+  world.RunUntil([&] { return view->is_whole; });
+  BOOST_TEST(view->status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(a_model_that_takes_long_is_refused_at_once) {
+  auto world = gateway_world(1);
+  world.SetEngine(0, {"m"}, 4);
+  const auto view = world.Call(
+      MakeRequest("model", "a", "Ebonythread-Model: n\r\n", "prompt"));
+  world.RunUntil([&] { return view->is_whole; });
+  BOOST_TEST(view->status == 503);
+  BOOST_TEST(std::stod(*view->head.Find("Retry-After")) > 1.0);
+}
+
 // A caller that does not get its whole request across, in each way.
 BOOST_AUTO_TEST_CASE(a_request_that_is_not_whole_is_never_sent_on) {
   auto world = gateway_world(1);
--- a/tests/gateway_world.cc
+++ b/tests/gateway_world.cc
@@ -36,7 +36,16 @@
          "," +
          MakeRouteText("resume", "streaming",
                        R"("maxAttempts":2,"gapAimMs":100,"resumable":true,)") +
-         R"(],"services":[{"name":"s","healthPath":"/h","maxConns":9}]})";
+         "," +
+         R"({"name":"model","host":"h","pathPrefix":"/model/",
+             "kind":"streaming","timeoutMs":4000,"targetLatencyMs":200,
+             "priority":1,"maxAttempts":1,"gapAimMs":100,"service":"e"})" +
+         R"(],"services":[{"name":"s","healthPath":"/h","maxConns":9},
+            {"name":"e","healthPath":"/h","maxConns":9,"engine":{"slots":4,
+             "weightsMb":100,"adapterSlots":2,"loadsPerS":1,"models":[
+              {"name":"m","weightsMb":10,"loadS":0.3,"adapters":2,
+               "adapterMb":1},
+              {"name":"n","weightsMb":10,"loadS":9,"adapters":0}]}}]})";
 }
 
 auto ReplaceId(std::string text, const std::string& id) -> std::string {
@@ -232,15 +241,34 @@
   answer->Respond(std::move(head), reply.SerializeAsString());
 }
 
-auto gateway_world::SetLeaving(std::size_t server) -> void {
+auto gateway_world::Change(std::size_t server,
+                           const std::function<void(backend_status&)>& change)
+    -> void {
   auto status = roster_.Find(backend_name(servers.at(server)->id))->status;
-  status.is_leaving = true;
+  change(status);
   status.sequence = ++sequence_;
   roster_.Announce(status, loop_.get_now());
   const auto seen = syncs.size();
   RunUntil([this, seen] { return syncs.size() >= seen + 2; });
 }
 
+auto gateway_world::SetLeaving(std::size_t server) -> void {
+  Change(server, [](backend_status& status) { status.is_leaving = true; });
+}
+
+auto gateway_world::SetEngine(std::size_t server,
+                              const std::vector<std::string>& models,
+                              std::uint32_t slots) -> void {
+  Change(server, [&](backend_status& status) {
+    status.service = service_name("e");
+    status.slots = slots;
+    status.models.clear();
+    for (const auto& model : models) {
+      status.models.push_back({model_name(model), 1, {}});
+    }
+  });
+}
+
 auto gateway_world::SetConfig(const std::string& text, std::uint64_t number)
     -> void {
   config_ = text;
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -93,6 +93,8 @@
   std::uint64_t sequence_ = 0;
   std::deque<server_script> common_scripts_;
 
+  auto Change(std::size_t server,
+              const std::function<void(backend_status&)>& change) -> void;
   auto OnSync(const http_call_in& call, const answer_pointer& answer) -> void;
 
  public:
@@ -111,6 +113,10 @@
   // Closes a caller's connection.
   auto Leave(const std::shared_ptr<caller_view>& view) -> void;
   auto SetLeaving(std::size_t server) -> void;
+  // Makes a server one of the engine service `e`, with these models.
+  auto SetEngine(std::size_t server,
+                 const std::vector<std::string>& models,
+                 std::uint32_t slots) -> void;
   auto SetConfig(const std::string& text, std::uint64_t number) -> void;
   // Runs until `done`, or fails the test after five seconds.
   auto RunUntil(const std::function<bool()>& done) -> void;
