Early calls wait for the first configuration; first election soon; fewer moves

The planner moved copies for gains that the unloading of busy copies (as long as their longest stream) ate up.

Change: calls wait up to 0.9 s or half their deadline for the first configuration, 128 of them; first pre-vote after 0.2 to 0.4 s; least gain of a move 0.06; lease margin 0.2 s.

--- a/consensus/raft.cc
+++ b/consensus/raft.cc
@@ -40,7 +40,10 @@
       stable_(log_.get_last()),
       unstable_from_(log_.get_last().get() + 1),
       now_(now) {
-  ResetElectionTimer();
+  const auto spread = options_.first_election_max / 2;
+  const auto extra = random_(static_cast<std::uint64_t>(spread.count()) + 1);
+  election_deadline_ =
+      now_ + spread + duration(static_cast<duration::rep>(extra));
 }
 
 auto raft::IsVoter(const node_id& id) const -> bool {
--- a/consensus/raft.h
+++ b/consensus/raft.h
@@ -19,6 +19,9 @@
   duration heartbeat = std::chrono::milliseconds(50);
   duration election_min = std::chrono::milliseconds(300);
   duration election_max = std::chrono::milliseconds(600);
+  // Longest time to the first pre-vote after a start. It may be short: a group
+  // with a live leader does not answer pre-votes.
+  duration first_election_max = std::chrono::milliseconds(600);
   std::size_t max_entries_per_append = 256;
 };
 
--- a/control/model_planner.cc
+++ b/control/model_planner.cc
@@ -163,8 +163,12 @@
   }
   stepped_ = now;
   const auto keep = std::exp(-elapsed / ToSeconds(options_.demand_window));
+  const auto keep_former =
+      std::exp2(-elapsed / ToSeconds(options_.former_half_life));
   for (auto& [name, rate] : demand_) {
-    rate.load = keep * rate.load + (1 - keep) * rate.arrived / elapsed;
+    const auto now_arriving = rate.arrived / elapsed;
+    rate.load = keep * rate.load + (1 - keep) * now_arriving;
+    rate.former = std::max(keep_former * rate.former, rate.load);
     rate.arrived = 0;
   }
   store_tokens_ = std::min(
@@ -174,7 +178,11 @@
 
 auto model_planner::GetLoad(const model_name& model) const -> double {
   const auto found = demand_.find(model);
-  return found == demand_.end() ? 0 : found->second.load;
+  if (found == demand_.end()) {
+    return 0;
+  }
+  const auto& rate = found->second;
+  return std::max(rate.load, options_.former_part * rate.former);
 }
 
 auto model_planner::FollowIntents(round& plan, mono_time now) -> void {
--- a/control/model_planner.h
+++ b/control/model_planner.h
@@ -32,13 +32,17 @@
 struct model_planner_options {
   // Demand is smoothed over this time.
   duration demand_window = std::chrono::milliseconds(2000);
+  // A model that was busy before may become busy again: it counts with this
+  // part of its former load.
+  double former_part = 0.05;
+  duration former_half_life = std::chrono::seconds(20);
   // Models are planned this often; adapters at each call.
   duration model_interval = std::chrono::milliseconds(200);
   // What a request costs a server: reading its prompt, and the rest.
   double prefill_tokens_per_second = 25000;
   double request_seconds = 0.03;
   // Least gain, in squared server load, for which a copy is moved.
-  double min_gain = 0.03;
+  double min_gain = 0.06;
   // Models and servers that are looked at in one round.
   std::size_t hottest_models = 6;
   std::size_t moves_per_round = 3;
@@ -65,6 +69,7 @@
   using adapter_place = std::pair<model_name, adapter_name>;
   struct demand_rate {
     double load = 0;     // seconds of server time per second
+    double former = 0;   // largest load, halved with time
     double arrived = 0;  // seconds of server time since the last step
   };
   struct adapter_want {
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -1,6 +1,7 @@
 #include "main/gateway_daemon.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "codec/site_codec.h"
@@ -13,6 +14,9 @@
 namespace {
 
 constexpr std::size_t kMaxWaiting = 256;  // requests
+// Calls that may wait for the first configuration, and for how long.
+constexpr std::size_t kMaxEarly = 128;
+constexpr duration kEarlyWait = std::chrono::milliseconds(900);
 constexpr duration kDrainTick = std::chrono::milliseconds(100);
 // A stream that begins later after SIGTERM may not end within the grace.
 constexpr duration kStreamsUntil = std::chrono::milliseconds(2800);
@@ -178,6 +182,9 @@
   }
   board_.SetAllLoads(loads, loop_.get_now());
   repeats_.SetGateways(static_cast<std::size_t>(answer.gateways_size()));
+  if (!early_.empty()) {
+    ReleaseEarly();
+  }
   RunWaiting();
 }
 
@@ -203,11 +210,53 @@
 
 auto gateway_daemon::OnCall(http_call_in call, const answer_pointer& answer)
     -> void {
-  auto terms = platform::DecodeCallerRequest(call.head);
   if (table_ == nullptr) {
-    RefuseCall(terms, error_kind::not_current, kUnavailable, answer);
+    HoldEarly(std::move(call), answer);
     return;
   }
+  auto terms = platform::DecodeCallerRequest(call.head);
+  Relay(std::move(call), std::move(terms), answer);
+}
+
+// After a restart the configuration is usually there within a second; a caller
+// that was sent away would use up its retry meanwhile.
+auto gateway_daemon::HoldEarly(http_call_in call, const answer_pointer& answer)
+    -> void {
+  if (early_.size() >= kMaxEarly) {
+    RefuseCall(platform::DecodeCallerRequest(call.head),
+               error_kind::not_current, kUnavailable, answer);
+    return;
+  }
+  const auto deadline =
+      platform::DecodeCallerRequest(call.head).deadline.value_or(kEarlyWait);
+  const auto limit = std::min(kEarlyWait, deadline / 2);
+  early_.push_back({std::move(call), answer, loop_.get_now() + limit});
+  loop_.AddTimerIn(limit, [this] { ReleaseEarly(); });
+}
+
+auto gateway_daemon::ReleaseEarly() -> void {
+  const auto now = loop_.get_now();
+  auto rest = std::vector<early_call>();
+  auto held = std::exchange(early_, {});
+  for (auto& item : held) {
+    if (item.answer->is_final()) {
+      continue;  // its caller has left
+    }
+    auto terms = platform::DecodeCallerRequest(item.call.head);
+    if (table_ != nullptr) {
+      Relay(std::move(item.call), std::move(terms), item.answer);
+    } else if (now >= item.until) {
+      RefuseCall(terms, error_kind::not_current, kUnavailable, item.answer);
+    } else {
+      rest.push_back(std::move(item));
+    }
+  }
+  std::move(rest.begin(), rest.end(), std::back_inserter(early_));
+}
+
+auto gateway_daemon::Relay(http_call_in call,
+                           caller_terms terms,
+                           const answer_pointer& answer) -> void {
   const auto* rule = table_->Match(terms.host, terms.path);
   if (rule == nullptr) {
     RefuseCall(terms, error_kind::not_found, kNotFound, answer);
--- a/main/gateway_daemon.h
+++ b/main/gateway_daemon.h
@@ -6,6 +6,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "core/backend_registry.h"
 #include "core/metrics.h"
@@ -46,6 +47,12 @@
   std::set<std::weak_ptr<relay_session>,
            std::owner_less<std::weak_ptr<relay_session>>>
       sessions_;
+  struct early_call {
+    http_call_in call;
+    answer_pointer answer;
+    mono_time until;
+  };
+  std::vector<early_call> early_;
   bool room_is_due_ = false;
   bool is_draining_ = false;
   mono_time drain_began_;
@@ -59,6 +66,12 @@
   auto TakeConfig(const schema::sync_answer& answer) -> void;
   auto TakeRoster(const schema::sync_answer& answer) -> void;
   auto OnCall(http_call_in call, const answer_pointer& answer) -> void;
+  auto Relay(http_call_in call,
+             caller_terms terms,
+             const answer_pointer& answer) -> void;
+  // Keeps calls that come before the first configuration, for a moment.
+  auto HoldEarly(http_call_in call, const answer_pointer& answer) -> void;
+  auto ReleaseEarly() -> void;
   auto RefuseCall(const caller_terms& terms,
                   error_kind kind,
                   int status,
--- a/main/order_desk.cc
+++ b/main/order_desk.cc
@@ -18,7 +18,7 @@
 constexpr duration kUnansweredPause = std::chrono::milliseconds(1500);
 constexpr duration kRefusedPause = std::chrono::milliseconds(400);
 // Added to the order lease, for what the clocks and links may differ.
-constexpr duration kLeaseMargin = std::chrono::milliseconds(500);
+constexpr duration kLeaseMargin = std::chrono::milliseconds(200);
 // From the answer to an adapter's order until the adapter can be used.
 constexpr duration kAdapterArrival = std::chrono::milliseconds(15);
 constexpr int kAccepted = 202;
--- a/main/quorum_node.cc
+++ b/main/quorum_node.cc
@@ -15,6 +15,7 @@
 constexpr duration kHeartbeat = std::chrono::milliseconds(150);
 constexpr duration kElectionMin = std::chrono::milliseconds(700);
 constexpr duration kElectionMax = std::chrono::milliseconds(1300);
+constexpr duration kFirstElectionMax = std::chrono::milliseconds(400);
 // A post between members that takes longer is given up.
 constexpr duration kPeerTimeout = std::chrono::milliseconds(400);
 constexpr duration kPeerIdle = std::chrono::seconds(5);
@@ -101,6 +102,7 @@
   options.heartbeat = kHeartbeat;
   options.election_min = kElectionMin;
   options.election_max = kElectionMax;
+  options.first_election_max = kFirstElectionMax;
   raft_ = std::make_unique<raft>(options, std::move(image), DrawBelow,
                                  loop_.RefreshNow());
 }
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -61,6 +61,26 @@
   BOOST_TEST(view->status == 404);
 }
 
+// The load: callers come back to a gateway that has just been restarted.
+BOOST_AUTO_TEST_CASE(an_early_call_waits_for_the_first_configuration) {
+  auto world = gateway_world(1);
+  world.Restart();
+  const auto view = world.Call(MakeRequest("plain", "id-1"));
+  world.RunUntil([&] { return view->is_whole; });
+  BOOST_TEST(view->status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(without_a_configuration_the_refusal_is_true_and_not_404) {
+  auto world = gateway_world(1);
+  world.SetSilent(true);
+  world.Restart();
+  const auto view = world.Call(
+      MakeRequest("plain", "id-1", "Ebonythread-Deadline-Ms: 400\r\n"));
+  world.RunUntil([&] { return view->is_whole; });
+  BOOST_TEST(view->status == 503);
+  BOOST_TEST(view->head.Find("Retry-After") != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(a_late_answer_to_another_request_is_skipped) {
   auto world = gateway_world(1);
   auto script = server_script();
--- a/tests/gateway_world.cc
+++ b/tests/gateway_world.cc
@@ -219,11 +219,25 @@
 
 gateway_world::~gateway_world() = default;
 
+auto gateway_world::Restart() -> void {
+  settings_.caller_address =
+      host_port("127.0.0.1:" + std::to_string(FindFreePort()));
+  settings_.readiness_address =
+      host_port("127.0.0.1:" + std::to_string(FindFreePort()));
+  former_.push_back(std::move(gateway_));
+  gateway_ =
+      std::make_unique<gateway_daemon>(settings_, loop_, log_, counters_);
+  gateway_->Start();
+}
+
 auto gateway_world::OnSync(const http_call_in& call,
                            const answer_pointer& answer) -> void {
   auto request = schema::sync_request();
   BOOST_REQUIRE(request.ParseFromString(call.body));
   syncs.push_back(request);
+  if (is_silent_) {
+    return;
+  }
   auto reply = schema::sync_answer();
   reply.set_is_leader(true);
   reply.set_config_number(config_number_);
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -91,6 +91,9 @@
   site_settings settings_;
   std::vector<std::shared_ptr<caller>> callers_;
   std::uint64_t sequence_ = 0;
+  bool is_silent_ = false;
+  // Earlier gateways; their timers still name them.
+  std::vector<std::unique_ptr<gateway_daemon>> former_;
   std::deque<server_script> common_scripts_;
 
   auto Change(std::size_t server,
@@ -118,6 +121,10 @@
                  const std::vector<std::string>& models,
                  std::uint32_t slots) -> void;
   auto SetConfig(const std::string& text, std::uint64_t number) -> void;
+  // Starts the gateway anew, with nothing known.
+  auto Restart() -> void;
+  // Makes the coordinator answer no sync.
+  auto SetSilent(bool is_silent) -> void { is_silent_ = is_silent; }
   // Runs until `done`, or fails the test after five seconds.
   auto RunUntil(const std::function<bool()>& done) -> void;
   auto RunFor(duration time) -> void;
