--- a/entry/relay_rules.cc
+++ b/entry/relay_rules.cc
@@ -26,6 +26,40 @@
 
 }  // namespace
 
+auto GetRelayEndText(relay_end end) -> std::string_view {
+  switch (end) {
+    case relay_end::whole:
+      return "whole";
+    case relay_end::not_sent:
+      return "not_sent";
+    case relay_end::not_run:
+      return "not_run";
+    case relay_end::cut:
+      return "cut";
+    case relay_end::spoiled:
+      return "spoiled";
+    case relay_end::stalled:
+      break;
+  }
+  return "stalled";
+}
+
+auto GetRelayStepText(relay_step step) -> std::string_view {
+  switch (step) {
+    case relay_step::deliver:
+      return "deliver";
+    case relay_step::again:
+      return "again";
+    case relay_step::refuse:
+      return "refuse";
+    case relay_step::fail:
+      return "fail";
+    case relay_step::break_off:
+      break;
+  }
+  return "break_off";
+}
+
 auto GetFallback(const relay_facts& facts) -> relay_step {
   if (facts.has_shown_events) {
     return relay_step::break_off;
--- a/entry/relay_rules.h
+++ b/entry/relay_rules.h
@@ -2,6 +2,7 @@
 #define EBONY_ENTRY_RELAY_RULES_H_
 
 #include <optional>
+#include <string_view>
 
 #include "core/caller_terms.h"
 #include "core/error_kind.h"
@@ -19,6 +20,9 @@
   stalled,   // no answer, or no event, for too long
 };
 
+// Returns a short name for logs.
+auto GetRelayEndText(relay_end end) -> std::string_view;
+
 // What a session knows when an attempt has ended.
 struct relay_facts {
   relay_end end = relay_end::cut;
@@ -38,6 +42,9 @@
   break_off,  // end the stream so that it does not look complete
 };
 
+// Returns a short name for logs.
+auto GetRelayStepText(relay_step step) -> std::string_view;
+
 // Decides what the end of an attempt allows. At most once means at most once:
 // only what cannot have run is tried again.
 auto DecideRelay(const relay_facts& facts) -> relay_step;
--- a/entry/server_board.cc
+++ b/entry/server_board.cc
@@ -16,6 +16,20 @@
 
 }  // namespace
 
+auto GetServerVerdictText(server_verdict verdict) -> std::string_view {
+  switch (verdict) {
+    case server_verdict::chosen:
+      return "chosen";
+    case server_verdict::busy:
+      return "busy";
+    case server_verdict::absent:
+      return "absent";
+    case server_verdict::nowhere:
+      break;
+  }
+  return "nowhere";
+}
+
 server_board::server_board(server_board_options options,
                            const backend_registry& registry,
                            random_source random)
--- a/entry/server_board.h
+++ b/entry/server_board.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <string_view>
 #include <vector>
 
 #include "core/backend_registry.h"
@@ -52,6 +53,9 @@
   nowhere,  // the service has no server
 };
 
+// Returns a short name for logs.
+auto GetServerVerdictText(server_verdict verdict) -> std::string_view;
+
 struct server_choice {
   server_verdict verdict = server_verdict::nowhere;
   const backend_status* server = nullptr;
--- a/main/relay_session.cc
+++ b/main/relay_session.cc
@@ -187,6 +187,15 @@
     Refuse(error_kind::overloaded, duration(0));
     return;
   }
+  context_.log.Write(
+      line_weight::request, "waiting",
+      {{"request", terms_.id.get()},
+       {"route", rule_.name.get()},
+       {"model", terms_.model.get()},
+       {"adapter", terms_.adapter.get()},
+       {"reason", std::string(GetServerVerdictText(reason))},
+       {"ahead", static_cast<std::int64_t>(context_.waiting.get_size() - 1)},
+       {"limit_ms", limit}});
   wait_timer_ = context_.loop.AddTimerIn(
       limit, [self = shared_from_this()] { self->OnWaited(); });
 }
@@ -437,10 +446,10 @@
         line_weight::request, "attempt_ended",
         {{"request", terms_.id.get()},
          {"backend", server_.get()},
-         {"end", static_cast<std::int64_t>(end)},
+         {"end", std::string(GetRelayEndText(end))},
          {"status", static_cast<std::int64_t>(server_answer_.status)},
          {"took_ms", duration(now - sent_)},
-         {"next", static_cast<std::int64_t>(step)}});
+         {"next", std::string(GetRelayStepText(step))}});
   }
   context_.on_room();
   switch (step) {
@@ -586,8 +595,15 @@
   facts.time_left = GetTimeLeft();
   facts.expected_wait = expected_wait;
   facts.draw = static_cast<double>(context_.random(kDrawSteps)) / kDrawSteps;
-  answer_->Respond(
-      platform::MakeOwnHead(kUnavailable, terms_.id, GetReturnTime(facts)), {});
+  const auto return_time = GetReturnTime(facts);
+  context_.log.Write(
+      line_weight::request, "told_to_return",
+      {{"request", terms_.id.get()},
+       {"kind", std::string(GetErrorAnswer(kind).code)},
+       {"left_ms", facts.time_left},
+       {"return_ms", return_time}});
+  answer_->Respond(platform::MakeOwnHead(kUnavailable, terms_.id, return_time),
+                   {});
   Finish(GetErrorAnswer(kind).code.data(), kUnavailable);
 }
 
--- /dev/null
+++ b/tests/soak/soak_site.cc
@@ -0,0 +1,464 @@
+#include "tests/soak/soak_site.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <utility>
+
+namespace ebony::testing {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kCoordinators = 3;
+constexpr int kGateways = 2;
+constexpr int kServers = 3;
+constexpr int kLink = 0;
+constexpr int kOperator = 1;
+constexpr int kDirectory = 2;
+constexpr int kCallers = 3;
+constexpr int kReadiness = 4;
+constexpr int kServer = 5;
+constexpr duration kCallTime = milliseconds(900);
+constexpr duration kAfterFault = milliseconds(4000);
+
+auto MakeHead(int status, std::vector<http_field> fields) -> http_head {
+  auto head = http_head();
+  head.status = status;
+  head.fields = std::move(fields);
+  return head;
+}
+
+auto MakeCall(const std::string& method,
+              const std::string& target,
+              const std::string& fields,
+              const std::string& body) -> std::string {
+  return method + " " + target + " HTTP/1.1\r\nHost: h\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Collects one answer and hands it on; status 0 stands for none.
+auto CollectAnswer(std::function<void(http_head, std::string)> done)
+    -> call_hooks {
+  const auto head = std::make_shared<http_head>();
+  const auto body = std::make_shared<std::string>();
+  auto hooks = call_hooks();
+  hooks.on_head = [head](const http_head& got) {
+    *head = got;
+    return true;
+  };
+  hooks.on_body = [body](std::string_view bytes) { body->append(bytes); };
+  hooks.on_whole = [head, body, done] { done(*head, *body); };
+  hooks.on_failed = [done](call_failure) { done({}, {}); };
+  return hooks;
+}
+
+auto GetRedirect(const http_head& head) -> host_port {
+  const auto* location = head.Find("Location");
+  const auto prefix = std::string("http://");
+  if (head.status != 307 || location == nullptr) {
+    return {};
+  }
+  const auto rest = location->substr(prefix.size());
+  return host_port(rest.substr(0, rest.find('/')));
+}
+
+}  // namespace
+
+soak_site::soak_site(std::string programs, std::uint64_t seed)
+    : random_(seed), programs_(std::move(programs)) {
+  auto name = std::string("/tmp/ebony-soak-XXXXXX");
+  folder_ = ::mkdtemp(name.data());
+  port_ = 20000 + (::getpid() % 2000) * 10;
+}
+
+soak_site::~soak_site() {
+  for (auto& process : processes_) {
+    Reap(process, true);
+  }
+  if (breaches_.empty()) {
+    std::filesystem::remove_all(folder_);
+  }
+}
+
+auto soak_site::Breach(const std::string& what) -> void {
+  breaches_.push_back(what + " (logs in " + folder_ + ")");
+}
+
+auto soak_site::GetAddress(const soak_process& process, int offset) const
+    -> host_port {
+  return host_port(process.ip + ":" + std::to_string(port_ + offset));
+}
+
+auto soak_site::WriteSettings(const soak_process& process, bool is_first)
+    -> void {
+  auto out = std::ofstream(process.folder + "/settings");
+  out << "node=" << process.name << "\nzone=z1\nip=" << process.ip
+      << "\nportRange=" << port_ + kLink << "," << port_ + kLink
+      << "\nbootstrap=" << (is_first ? "true" : "false")
+      << "\ndataDir=" << process.folder << "/data\ntolerate.machines=1\n"
+      << "bounds.graceS=8\nbounds.retryRatio=0.2\nbounds.retrySlack=50\n";
+  if (process.is_coordinator) {
+    out << "listen.control=" << GetAddress(process, kOperator).get()
+        << "\nlisten.directory=" << GetAddress(process, kDirectory).get();
+  } else {
+    out << "listen.front=" << GetAddress(process, kCallers).get()
+        << "\nlisten.readyAddr=" << GetAddress(process, kReadiness).get();
+  }
+  out << "\nseeds=";
+  for (auto i = 0; i < kCoordinators; ++i) {
+    out << (i > 0 ? "," : "")
+        << GetAddress(processes_[static_cast<std::size_t>(i)], kOperator).get();
+  }
+  out << "\n";
+}
+
+auto soak_site::Spawn(soak_process& process, bool is_first) -> void {
+  WriteSettings(process, is_first);
+  const auto program = programs_ + "/" + process.program;
+  const auto log = process.folder + "/log";
+  const auto setting = "EBONYTHREAD_SETTINGS=" + process.folder + "/settings";
+  process.pid = ::fork();
+  if (process.pid == 0) {
+    const auto fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    ::dup2(fd, STDOUT_FILENO);
+    ::dup2(fd, STDERR_FILENO);
+    const char* const arguments[] = {program.c_str(), nullptr};
+    const char* const environment[] = {setting.c_str(), nullptr};
+    ::execve(program.c_str(), const_cast<char* const*>(arguments),
+             const_cast<char* const*>(environment));
+    ::_exit(127);
+  }
+}
+
+auto soak_site::Signal(soak_process& process, int signal) -> void {
+  if (process.pid > 0) {
+    ::kill(process.pid, signal);
+  }
+}
+
+auto soak_site::Reap(soak_process& process, bool kill) -> void {
+  if (process.pid <= 0) {
+    return;
+  }
+  if (kill) {
+    ::kill(process.pid, SIGCONT);
+    ::kill(process.pid, SIGKILL);
+  }
+  ::waitpid(process.pid, nullptr, 0);
+  process.pid = 0;
+}
+
+auto soak_site::RestartLater(std::size_t index, duration delay, bool wipe)
+    -> void {
+  loop_.AddTimerIn(delay, [this, index, wipe] {
+    auto& process = processes_[index];
+    Reap(process, true);
+    if (wipe) {
+      std::filesystem::remove_all(process.folder + "/data");
+      std::filesystem::create_directory(process.folder + "/data");
+    }
+    Spawn(process, false);
+    process.is_impaired = false;
+    heal_until_ = loop_.get_now() + kAfterFault;
+  });
+}
+
+auto soak_site::InjectOn(std::size_t index) -> void {
+  auto& process = processes_[index];
+  process.is_impaired = true;
+  ++faults_;
+  const auto pause = milliseconds(200 + Draw(2500));
+  switch (Draw(process.is_coordinator ? 4 : 3)) {
+    case 0:
+      Signal(process, SIGKILL);
+      RestartLater(index, pause, false);
+      break;
+    case 1:
+      Signal(process, SIGSTOP);
+      loop_.AddTimerIn(pause, [this, index] {
+        Signal(processes_[index], SIGCONT);
+        Signal(processes_[index], SIGHUP);
+        processes_[index].is_impaired = false;
+        heal_until_ = loop_.get_now() + kAfterFault;
+      });
+      break;
+    case 2:
+      Signal(process, SIGTERM);
+      RestartLater(index, milliseconds(8200), false);
+      break;
+    default:
+      Signal(process, SIGKILL);
+      RestartLater(index, pause, true);
+      break;
+  }
+}
+
+// One coordinator at a time, and none while the group is being repaired; the
+// gateways at any time.
+auto soak_site::InjectFault() -> void {
+  const auto index = Draw(processes_.size());
+  const auto is_busy = std::any_of(
+      processes_.begin(), processes_.end(), [](const soak_process& process) {
+        return process.is_coordinator && process.is_impaired;
+      });
+  const auto may_fail = !processes_[index].is_coordinator ||
+                        (!is_busy && loop_.get_now() >= heal_until_);
+  if (!processes_[index].is_impaired && may_fail) {
+    InjectOn(index);
+  }
+}
+
+auto soak_site::PickCoordinator() -> host_port {
+  return GetAddress(processes_[Draw(kCoordinators)], kOperator);
+}
+
+auto soak_site::MakeConfig(std::uint64_t number) const -> std::string {
+  auto routes = nlohmann::json::array();
+  for (const auto* kind : {"idempotent", "non_idempotent", "streaming"}) {
+    routes.push_back({{"name", kind},
+                      {"host", "h"},
+                      {"pathPrefix", std::string("/") + kind + "/"},
+                      {"kind", kind},
+                      {"timeoutMs", 2000},
+                      {"targetLatencyMs", 200},
+                      {"priority", 1},
+                      {"maxAttempts", 2},
+                      {"gapAimMs", 250},
+                      {"service", "s"}});
+  }
+  return nlohmann::json({{"version", number},
+                         {"routes", routes},
+                         {"services", {{{"name", "s"}}}}})
+      .dump();
+}
+
+auto soak_site::OnServerCall(std::size_t server,
+                             const http_call_in& call,
+                             const answer_pointer& answer) -> void {
+  const auto id = *call.head.Find("Ebonythread-Request-Id");
+  const auto* expected = call.head.Find("Ebonythread-Expect-Instance");
+  if (expected == nullptr || *expected != "i-" + std::to_string(server)) {
+    answer->Respond(MakeHead(421, {}), {});
+    return;
+  }
+  auto& request = requests_[id];
+  ++request.runs;
+  if (request.runs > 1 && !request.may_repeat) {
+    Breach("request " + id + " ran twice");
+  }
+  if (request.was_refused) {
+    Breach("request " + id + " ran after it was refused");
+  }
+  auto head = MakeHead(200, {{"Ebonythread-Request-Id", id},
+                             {"Ebonythread-Response-Seal", "seal-" + id}});
+  const auto is_stream = call.head.target.rfind("/streaming/", 0) == 0;
+  const auto delay = milliseconds(2 + Draw(30));
+  loop_.AddTimerIn(delay, [head, answer, id, is_stream] {
+    if (!is_stream) {
+      answer->Respond(head, "body-" + id);
+      return;
+    }
+    answer->Begin(head);
+    answer->Append("id: 1\ndata: " + id + "\n\n");
+    answer->Append("id: 2\ndata: end\n\n");
+    answer->Finish();
+  });
+}
+
+auto soak_site::Announce(std::size_t server) -> void {
+  const auto ip = "127.0.3." + std::to_string(server + 1);
+  const auto body =
+      nlohmann::json({{"service", "s"},
+                      {"addr", ip + ":" + std::to_string(port_ + kServer)},
+                      {"zone", "z1"},
+                      {"slots", 50},
+                      {"state", "ready"},
+                      {"born", 1000},
+                      {"seq", ++sequences_[server]}})
+          .dump();
+  const auto to = GetAddress(
+      processes_[announce_turns_[server] % kCoordinators], kOperator);
+  pool_.Start(
+      to,
+      MakeCall("PUT", "/api/instances/i-" + std::to_string(server), {}, body),
+      false, call_options(),
+      CollectAnswer([this, server](const http_head& head, const std::string&) {
+        announce_turns_[server] += head.status == 200 ? 0 : 1;
+      }));
+}
+
+auto soak_site::OnAnswer(const std::string& id,
+                         bool is_stream,
+                         const http_head& head,
+                         const std::string& body) -> void {
+  auto& request = requests_[id];
+  if (head.status == 503 || head.status == 429) {
+    request.was_refused = true;
+    if (request.runs > 0) {
+      Breach("request " + id + " was refused and had run");
+    }
+    return;
+  }
+  if (head.status != 200) {
+    return;
+  }
+  ++served_;
+  const auto* seal = head.Find("Ebonythread-Response-Seal");
+  const auto expected = is_stream
+                            ? "id: 1\ndata: " + id + "\n\nid: 2\ndata: end\n\n"
+                            : "body-" + id;
+  if (seal == nullptr || *seal != "seal-" + id || body != expected) {
+    Breach("request " + id + " got an answer that is not its own");
+  }
+}
+
+auto soak_site::SendRequest() -> void {
+  const auto id = "r" + std::to_string(++next_request_);
+  const char* const kinds[] = {"idempotent", "non_idempotent", "streaming"};
+  const auto kind = std::string(kinds[Draw(3)]);
+  requests_[id].may_repeat = kind == "idempotent";
+  const auto& gateway = processes_[kCoordinators + Draw(kGateways)];
+  const auto bytes = MakeCall(
+      kind == "idempotent" ? "GET" : "POST", "/" + kind + "/x",
+      "Ebonythread-Request-Id: " + id + "\r\nEbonythread-Deadline-Ms: 1500\r\n",
+      kind == "idempotent" ? "" : "payload");
+  const auto call = std::shared_ptr<http_call>(
+      pool_.Start(GetAddress(gateway, kCallers), bytes, false, call_options(),
+                  CollectAnswer([this, id, kind](const http_head& head,
+                                                 const std::string& body) {
+                    OnAnswer(id, kind == "streaming", head, body);
+                  })));
+  if (Draw(20) == 0) {  // some callers leave early
+    loop_.AddTimerIn(milliseconds(Draw(30)), [call] { call->Cancel(); });
+  }
+}
+
+auto soak_site::PutConfig(std::uint64_t number, host_port to, int hops)
+    -> void {
+  auto hooks = CollectAnswer(
+      [this, number, hops](const http_head& head, const std::string&) {
+        if (head.status == 200) {
+          acknowledged_ = std::max(acknowledged_, number);
+        } else if (const auto next = GetRedirect(head);
+                   next != host_port() && hops > 0) {
+          PutConfig(number, next, hops - 1);
+        }
+      });
+  pool_.Start(to, MakeCall("PUT", "/api/config", {}, MakeConfig(number)), false,
+              call_options(), std::move(hooks));
+}
+
+auto soak_site::ReadConfig(host_port to, std::uint64_t least, int hops)
+    -> void {
+  auto hooks = CollectAnswer([this, least, hops](const http_head& head,
+                                                 const std::string& body) {
+    if (const auto next = GetRedirect(head); next != host_port() && hops > 0) {
+      ReadConfig(next, least, hops - 1);
+    }
+    if (head.status != 200) {
+      return;
+    }
+    ++reads_;
+    const auto read =
+        nlohmann::json::parse(body).at("version").get<std::uint64_t>();
+    if (read < least) {
+      Breach("read configuration " + std::to_string(read) + " after " +
+             std::to_string(least) + " was acknowledged");
+    }
+  });
+  pool_.Start(to, MakeCall("GET", "/api/config", {}, {}), false, call_options(),
+              std::move(hooks));
+}
+
+auto soak_site::Start() -> void {
+  for (auto i = 0; i < kCoordinators + kGateways; ++i) {
+    auto process = soak_process();
+    process.is_coordinator = i < kCoordinators;
+    const auto number = process.is_coordinator ? i + 1 : i + 1 - kCoordinators;
+    process.name =
+        (process.is_coordinator ? "c" : "g") + std::to_string(number);
+    process.program =
+        process.is_coordinator ? "ebony_coordinator" : "ebony_gateway";
+    process.ip = (process.is_coordinator ? "127.0.1." : "127.0.2.") +
+                 std::to_string(number);
+    process.folder = folder_ + "/" + process.name;
+    std::filesystem::create_directories(process.folder + "/data");
+    processes_.push_back(process);
+  }
+  for (auto& process : processes_) {
+    Spawn(process, true);
+  }
+  auto options = http_listener::options();
+  options.get_limits = [] { return connection_limits(); };
+  options.is_closing = [] { return false; };
+  for (auto i = std::size_t{0}; i < kServers; ++i) {
+    servers_.push_back(std::make_unique<http_listener>(
+        loop_,
+        host_port("127.0.3." + std::to_string(i + 1) + ":" +
+                  std::to_string(port_ + kServer)),
+        options,
+        [this, i](const http_call_in& call, const answer_pointer& answer) {
+          OnServerCall(i, call, answer);
+        }));
+    sequences_.push_back(0);
+    announce_turns_.push_back(i);
+    RepeatEvery(loop_, milliseconds(300), [this, i] { Announce(i); });
+  }
+}
+
+auto soak_site::Run(duration time, bool with_faults) -> void {
+  const auto until = loop_.RefreshNow() + time;
+  const auto is_loaded = [this, until] { return loop_.get_now() < until; };
+  RepeatEvery(loop_, milliseconds(10), [this, is_loaded] {
+    if (is_loaded()) {
+      SendRequest();
+    }
+  });
+  RepeatEvery(loop_, milliseconds(200), [this, is_loaded] {
+    if (is_loaded()) {
+      PutConfig(Draw(4) == 0 ? next_config_ : ++next_config_, PickCoordinator(),
+                2);
+    }
+    ReadConfig(PickCoordinator(), acknowledged_, 2);
+  });
+  if (with_faults) {
+    RepeatEvery(loop_, milliseconds(700), [this, is_loaded] {
+      if (is_loaded()) {
+        InjectFault();
+      }
+    });
+  }
+  loop_.Run([&] { return loop_.get_now() >= until; });
+  // Everything is back within the longest fault; then the end must be right.
+  const auto healed = loop_.get_now() + milliseconds(9000) + kAfterFault;
+  const auto reads = reads_;
+  const auto served = served_;
+  loop_.Run([&] { return loop_.get_now() >= (with_faults ? healed : until); });
+  const auto last = loop_.get_now() + milliseconds(5000);
+  RepeatEvery(loop_, milliseconds(100), [this] { SendRequest(); });
+  loop_.Run([&] {
+    return loop_.get_now() >= last || (served_ > served && reads_ > reads + 3);
+  });
+  if (served_ <= served || reads_ <= reads || acknowledged_ == 0) {
+    Breach("the site did not recover");
+  }
+}
+
+auto soak_site::Describe() const -> std::string {
+  auto out = std::ostringstream();
+  out << requests_.size() << " requests, " << served_ << " served, "
+      << acknowledged_ << " newest configuration acknowledged, " << reads_
+      << " read, " << faults_ << " faults, " << breaches_.size() << " breaches";
+  return out.str();
+}
+
+}  // namespace ebony::testing
