platform/ in files of one job; the ends of a session in a file of their own; lint

Change: json_reader, config_codec, order_codec, relay_session_end; the lint script greps for the platform's names outside platform/ and tests/. Ruled out: changes of behaviour (the same tests pass).

--- a/.ci/lint.sh
+++ b/.ci/lint.sh
@@ -14,6 +14,15 @@
 fi
 rm -f /tmp/format.$$
 
+# Names of the users' platform stay in platform/ and in tests.
+leaks=$(printf '%s\n' "${sources[@]}" | grep -Ev '^(platform|tests)/' |
+  xargs grep -lE 'Ebonythread-|EBONYTHREAD_|/api/|drainMs|beatAddr|targetLatencyMs|portRange|pathPrefix')
+if [ -n "$leaks" ]; then
+  echo "names of the platform outside platform/:"
+  echo "$leaks"
+  status=1
+fi
+
 generated=$(mktemp -d)
 protoc --cpp_out="$generated" schema/*.proto
 if ! diff -rq "$generated/schema" schema/generated/schema; then
--- a/drivers/http_listener.cc
+++ b/drivers/http_listener.cc
@@ -162,7 +162,7 @@
   auto get_unsent_bytes() const -> std::size_t {
     return socket_->get_unsent_bytes();
   }
-  auto ends_after_answer() const -> bool {
+  auto EndsAfterAnswer() const -> bool {
     return !wants_keep_alive_ || listener_.options_.is_closing();
   }
 
@@ -198,7 +198,7 @@
   }
   is_final_ = true;
   on_gone_ = nullptr;
-  const auto ends = connection->ends_after_answer();
+  const auto ends = connection->EndsAfterAnswer();
   // Answers of these kinds have no body and no length.
   const auto is_bare = head.status == 204 || head.status == 304;
   if (!is_bare) {
@@ -222,7 +222,7 @@
   }
   has_begun_ = true;
   head.fields.push_back({"Transfer-Encoding", "chunked"});
-  if (connection->ends_after_answer()) {
+  if (connection->EndsAfterAnswer()) {
     head.fields.push_back({"Connection", "close"});
   }
   connection->Send(RenderResponseHead(head));
@@ -243,7 +243,7 @@
   }
   is_final_ = true;
   on_gone_ = nullptr;
-  const auto ends = connection->ends_after_answer();
+  const auto ends = connection->EndsAfterAnswer();
   connection->Send(RenderChunk({}));
   connection->OnAnswered(!ends);
 }
--- a/drivers/http_pool.cc
+++ b/drivers/http_pool.cc
@@ -14,8 +14,6 @@
 // Taken off the time that the peer states, against a close that crosses a send.
 constexpr duration kKeepMargin = std::chrono::milliseconds(700);
 constexpr int kFirstFinalStatus = 200;
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
 
 // Returns the time of `Keep-Alive: timeout=N`.
 auto GetKeepTime(const http_head& head) -> duration {
@@ -46,7 +44,6 @@
   std::string rest_;  // bytes that the parser has not taken yet
   std::uint64_t sent_before_ = 0;
   bool is_busy_ = false;
-  bool is_connected_ = false;
   bool is_head_request_ = false;
   bool skips_ = false;  // the answer being read is not for this call
   bool has_bodyless_head_ = false;
--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -7,6 +7,7 @@
 #include "codec/site_codec.h"
 #include "core/error_kind.h"
 #include "main/site_paths.h"
+#include "platform/config_codec.h"
 
 namespace ebony {
 
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -6,6 +6,7 @@
 
 #include "codec/site_codec.h"
 #include "core/error_kind.h"
+#include "platform/config_codec.h"
 #include "platform/control_codec.h"
 #include "platform/request_codec.h"
 
--- a/main/order_desk.cc
+++ b/main/order_desk.cc
@@ -4,7 +4,7 @@
 #include <list>
 #include <utility>
 
-#include "platform/control_codec.h"
+#include "platform/order_codec.h"
 
 namespace ebony {
 
@@ -12,8 +12,6 @@
 
 constexpr duration kOrderTimeout = std::chrono::milliseconds(800);
 constexpr duration kStateTimeout = std::chrono::milliseconds(800);
-// A server's own report shows an order some hundred milliseconds late.
-constexpr duration kReportLag = std::chrono::milliseconds(700);
 // After an unanswered order its server is left alone for this long.
 constexpr duration kUnansweredPause = std::chrono::milliseconds(1500);
 constexpr duration kRefusedPause = std::chrono::milliseconds(400);
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -84,7 +84,6 @@
   metrics counters_;
   std::string config_;
   std::uint64_t config_number_ = 1;
-  std::uint64_t revision_ = 0;
   backend_registry roster_{backend_registry_options()};
   std::unique_ptr<http_listener> coordinator_;
   std::unique_ptr<gateway_daemon> gateway_;
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -3,7 +3,9 @@
 #include <variant>
 
 #include "core/error_kind.h"
+#include "platform/config_codec.h"
 #include "platform/control_codec.h"
+#include "platform/order_codec.h"
 #include "platform/request_codec.h"
 #include "platform/settings_file.h"
 #include "settings/settings_loader.h"
--- a/tests/soak/soak_site.cc
+++ b/tests/soak/soak_site.cc
@@ -27,7 +27,6 @@
 constexpr int kCallers = 3;
 constexpr int kReadiness = 4;
 constexpr int kServer = 5;
-constexpr duration kCallTime = milliseconds(900);
 constexpr duration kAfterFault = milliseconds(4000);
 
 auto MakeHead(int status, std::vector<http_field> fields) -> http_head {
