--- a/main/relay_session.cc
+++ b/main/relay_session.cc
@@ -35,6 +35,7 @@
 constexpr duration kShortestStall = std::chrono::milliseconds(250);
 // A resumable stream goes on elsewhere after this many longest pauses.
 constexpr int kStallGaps = 8;
+constexpr int kMaxUnreached = 3;
 constexpr int kOk = 200;
 constexpr int kFirstError = 300;
 
@@ -403,6 +404,17 @@
   prefill_tokens_ = 0;
 }
 
+// A server that got no byte costs nothing of the repeats.
+auto relay_session::MayGoOn(relay_end end) -> bool {
+  if (GetTimeLeft() <= duration(0)) {
+    return false;
+  }
+  if (end == relay_end::not_sent) {
+    return unreached_ <= kMaxUnreached;
+  }
+  return context_.repeats.TryTake(service_.name, context_.loop.get_now());
+}
+
 auto relay_session::OnAttemptEnd(relay_end end) -> void {
   if (is_done_) {
     return;
@@ -410,6 +422,10 @@
   const auto self = shared_from_this();
   const auto now = context_.loop.get_now();
   ReleaseServer();
+  if (end == relay_end::not_sent) {
+    --attempts_;
+    ++unreached_;
+  }
   auto facts = relay_facts();
   facts.end = end;
   facts.answer = server_answer_;
@@ -434,9 +450,7 @@
   }
   auto step = end == relay_end::whole && is_streaming_ ? relay_step::deliver
                                                        : DecideRelay(facts);
-  if (step == relay_step::again &&
-      (GetTimeLeft() <= duration(0) ||
-       !context_.repeats.TryTake(service_.name, now))) {
+  if (step == relay_step::again && !MayGoOn(end)) {
     step = GetFallback(facts);
   }
   has_run_maybe_ = has_run_maybe_ ||
--- a/main/relay_session.h
+++ b/main/relay_session.h
@@ -76,7 +76,8 @@
   server_verdict wait_reason_ = server_verdict::busy;
 
   // The attempt under way.
-  int attempts_ = 0;
+  int attempts_ = 0;   // servers that got at least a byte of it
+  int unreached_ = 0;  // servers that could not be connected to
   std::set<backend_name> tried_;
   bool has_run_maybe_ = false;
   std::unique_ptr<http_call> attempt_;
@@ -118,6 +119,7 @@
   auto OnBody(std::string_view bytes) -> void;
   auto ShowEvents(std::string_view bytes) -> void;
   auto OnWhole() -> void;
+  auto MayGoOn(relay_end end) -> bool;
   auto OnAttemptEnd(relay_end end) -> void;
   auto ReleaseServer() -> void;
   auto ArmStall() -> void;
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -167,6 +167,24 @@
   }
 }
 
+// A server that cannot be connected to was not sent anything: also a request
+// that may be sent to one server only goes on.
+BOOST_AUTO_TEST_CASE(an_unreached_server_is_no_attempt) {
+  auto world = gateway_world(3);
+  for (const auto server : {0U, 1U, 2U}) {
+    world.SetEngine(server, {"m"}, 4);
+  }
+  world.servers[0]->Stop();
+  world.servers[1]->Stop();
+  for (const auto* id : {"a", "b", "c", "d"}) {
+    const auto view = world.Call(
+        MakeRequest("model", id, "Ebonythread-Model: m\r\n", "prompt"));
+    world.RunUntil([&] { return view->is_whole; });
+    BOOST_TEST(view->status == 200);
+  }
+  BOOST_TEST(world.servers[2]->get_arrived().size() == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_without_length_is_whole_at_an_orderly_close) {
   auto world = gateway_world(1);
   auto script = server_script();
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -58,6 +58,8 @@
   std::string id;
   auto Expect(server_script script) -> void;
   auto GetAddress() const -> host_port;
+  // Accepts no connection any more.
+  auto Stop() -> void { acceptor_->Stop(); }
   auto get_arrived() const
       -> const std::vector<std::shared_ptr<arrived_request>>& {
     return arrived_;
