A departure is acknowledged once the live gateways know it

Change: control/departure_acks waits, at most 0.8 s, until each gateway that is not silent has been sent that revision; without that the server is told to come again. Ruled out: replicating departures in the log (larger; next).

--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -19,7 +19,7 @@
 constexpr duration kFollowTimeout = std::chrono::milliseconds(800);
 // Shorter than the second that callers of these interfaces wait.
 constexpr duration kConfirmLimit = std::chrono::milliseconds(800);
-constexpr duration kPassOnTimeout = std::chrono::milliseconds(700);
+constexpr duration kPassOnTimeout = std::chrono::milliseconds(900);
 constexpr duration kLinkIdle = std::chrono::seconds(5);
 constexpr std::size_t kMaxDirectory = 64;
 constexpr std::chrono::seconds kDirectoryTtl{2};
@@ -200,7 +200,27 @@
                 {"models", static_cast<std::int64_t>(status.models.size())},
                 {"sequence", static_cast<std::int64_t>(status.sequence)}});
   }
-  AnswerAnnounced(answer);
+  AcknowledgeKnown(status.id, [this, answer](bool is_known) {
+    if (is_known) {
+      AnswerAnnounced(answer);
+    } else {
+      Answer(answer, kUnavailable, {});
+    }
+  });
+}
+
+// A departure is acknowledged once the gateways know it, all else at once.
+auto coordinator_daemon::AcknowledgeKnown(const backend_name& id,
+                                          std::function<void(bool)> done)
+    -> void {
+  const auto* record = registry_.Find(id);
+  const auto departs =
+      record != nullptr && (record->is_gone || record->status.is_leaving);
+  if (!departs) {
+    done(true);
+    return;
+  }
+  departures_.Wait(record->revision, loop_.get_now(), std::move(done));
 }
 
 auto coordinator_daemon::OnLeave(const platform::leave_call& call,
@@ -218,7 +238,13 @@
     log_.Write(line_weight::state, "backend_left",
                {{"backend", call.id.get()}});
   }
-  AnswerAnnounced(answer);
+  AcknowledgeKnown(call.id, [this, answer](bool is_known) {
+    if (is_known) {
+      AnswerAnnounced(answer);
+    } else {
+      Answer(answer, kUnavailable, {});
+    }
+  });
 }
 
 // What a backend server says is acknowledged only once the leader has it.
@@ -268,6 +294,8 @@
     Answer(answer, kUnavailable, {});
     return;
   }
+  const auto left = std::make_shared<int>(batch.backends_size());
+  const auto is_all_known = std::make_shared<bool>(true);
   for (const auto& row : batch.backends()) {
     const auto record = ToDomain(row, loop_.get_now());
     if (record.is_gone) {
@@ -275,8 +303,14 @@
     } else {
       NoteAnnouncement(record.status);
     }
+    AcknowledgeKnown(record.status.id,
+                     [this, answer, left, is_all_known](bool is_known) {
+                       *is_all_known = *is_all_known && is_known;
+                       if (--*left == 0) {
+                         Answer(answer, *is_all_known ? kOk : kUnavailable, {});
+                       }
+                     });
   }
-  Answer(answer, kOk, {});
 }
 
 auto coordinator_daemon::RedirectToLeader(const std::string& target,
@@ -442,6 +476,10 @@
     }
   }
   Answer(answer, kOk, reply.SerializeAsString());
+  if (quorum_.is_leader() && !request.caller_address().empty()) {
+    departures_.OnTold(vm_name(request.vm()), registry_.get_revision(), now);
+    departures_.Tick(now);
+  }
 }
 
 // A follower asks the leader for the gateways, for its own directory.
@@ -501,9 +539,11 @@
           "/" + std::to_string(loop_.get_now().time_since_epoch().count());
       registry_ = backend_registry(backend_registry_options());
       loads_.Clear();
+      departures_.Clear();
       orders_.StartLeading(quorum_.get_term().get());
     } else {
       orders_.StopLeading();
+      departures_.Clear();
       // Whether these were accepted is not known here any more.
       for (const auto& [index, put] : puts_) {
         Answer(put.answer, kUnavailable, {});
@@ -519,6 +559,7 @@
     log_.Write(line_weight::state, "backend_suspected",
                {{"backend", id.get()}});
   }
+  departures_.Tick(loop_.get_now());
   loads_.Expire(loop_.get_now());
   for (const auto& [id, record] : registry_.get_records()) {
     orders_.NoteLoad(id, static_cast<double>(loads_.Get(id).requests));
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -1,11 +1,13 @@
 #ifndef EBONY_MAIN_COORDINATOR_DAEMON_H_
 #define EBONY_MAIN_COORDINATOR_DAEMON_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "control/departure_acks.h"
 #include "control/gateway_registry.h"
 #include "control/load_totals.h"
 #include "core/backend_registry.h"
@@ -46,6 +48,7 @@
   backend_registry registry_;
   gateway_registry gateways_;
   load_totals loads_;
+  departure_acks departures_;
   order_desk orders_;
   std::multimap<log_index, waiting_put> puts_;
   std::string roster_source_;
@@ -83,6 +86,8 @@
                     const answer_pointer& answer) -> void;
   auto RedirectToLeader(const std::string& target, const answer_pointer& answer)
       -> void;
+  auto AcknowledgeKnown(const backend_name& id, std::function<void(bool)> done)
+      -> void;
   auto AnswerAnnounced(const answer_pointer& answer) -> void;
   auto Answer(const answer_pointer& answer, int status, std::string body)
       -> void;
--- a/tests/coordinator_parts_test.cc
+++ b/tests/coordinator_parts_test.cc
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 #include <random>
 
+#include "control/departure_acks.h"
 #include "control/gateway_registry.h"
 #include "control/load_totals.h"
 #include "core/error_kind.h"
@@ -55,6 +56,53 @@
   BOOST_TEST(Inflate(Deflate({})).empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_departure_is_acknowledged_once_live_gateways_know) {
+  auto acks = departure_acks();
+  auto outcome = std::string("open");
+  const auto done = [&outcome](bool is_known) {
+    outcome = is_known ? "known" : "unknown";
+  };
+  acks.OnTold(vm_name("g1"), 4, At(0));
+  acks.OnTold(vm_name("g2"), 4, At(0));
+  acks.Wait(4, At(10), done);
+  BOOST_TEST(outcome == "known");
+  outcome = "open";
+  acks.Wait(5, At(20), done);
+  acks.OnTold(vm_name("g1"), 5, At(50));
+  acks.Tick(At(50));
+  BOOST_TEST(outcome == "open");
+  acks.OnTold(vm_name("g2"), 5, At(60));
+  acks.Tick(At(60));
+  BOOST_TEST(outcome == "known");
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_gateway_is_not_waited_for) {
+  auto acks = departure_acks();
+  auto outcome = std::string("open");
+  const auto done = [&outcome](bool is_known) {
+    outcome = is_known ? "known" : "unknown";
+  };
+  acks.OnTold(vm_name("g1"), 4, At(0));
+  acks.OnTold(vm_name("g2"), 4, At(0));
+  acks.Wait(5, At(10), done);
+  acks.OnTold(vm_name("g1"), 5, At(60));
+  acks.Tick(At(300));
+  BOOST_TEST(outcome == "open");
+  acks.Tick(At(500));
+  BOOST_TEST(outcome == "known");
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_leader_acknowledges_no_departure) {
+  auto acks = departure_acks();
+  auto outcome = std::string("open");
+  acks.OnTold(vm_name("g1"), 4, At(0));
+  acks.Wait(5, At(10), [&outcome](bool is_known) {
+    outcome = is_known ? "known" : "unknown";
+  });
+  acks.Clear();
+  BOOST_TEST(outcome == "unknown");
+}
+
 BOOST_AUTO_TEST_CASE(the_directory_names_ready_gateways_heard_lately) {
   auto gateways = gateway_registry();
   auto record = gateway_record();
