Planner on places in the catalogue instead of names

Ruled out: copying of statuses as the main part (a tenth). Change: planner_round turns names into places once; GetAdapterRoom is computed once; order_desk compares what a server holds instead of copying its status. Decisions are the same; the planner's tests are unchanged.

--- a/control/model_planner.h
+++ b/control/model_planner.h
@@ -6,20 +6,11 @@
 #include <utility>
 #include <vector>
 
-#include "core/backend_registry.h"
+#include "control/planner_round.h"
 #include "core/site_config.h"
 
 namespace ebony {
 
-// A change of what one backend server holds.
-struct model_order {
-  backend_name backend;
-  bool is_load = true;
-  model_name model;
-  adapter_name adapter;  // empty: the model itself
-  bool from_store = false;
-};
-
 // Requests of one model or adapter that arrived since the last note.
 struct model_demand_note {
   model_name model;
@@ -53,13 +44,6 @@
   double store_burst = 3;
 };
 
-// One server as the planner may use it.
-struct planner_server {
-  const backend_status* status = nullptr;
-  double load = 0;       // requests under way
-  bool is_busy = false;  // has an order under way, or its state is not known
-};
-
 // Decides which server loads or unloads which model or adapter. Every model of
 // the catalogue keeps a copy; further copies go where they lower the sum of the
 // squared loads of all servers most, so that no server gets far more than the
@@ -81,8 +65,14 @@
     model_name model;
     mono_time until;
   };
-  struct round;
-  struct candidate_move;
+  // A copy of a model for a server, in place of `victim` where there is no
+  // room. Servers and models as in the round.
+  struct candidate_move {
+    std::size_t server = 0;
+    std::size_t model = 0;
+    std::optional<std::size_t> victim;
+    double gain = 0;
+  };
 
   model_planner_options options_;
   std::map<model_name, demand_rate> demand_;
@@ -96,16 +86,26 @@
   auto GetLoad(const model_name& model) const -> double;
   // Drops intents that came true or took too long, counts the others as copies
   // and carries out those whose server has room now.
-  auto FollowIntents(round& plan, mono_time now) -> void;
-  auto PlanMissing(round& plan, mono_time now) -> void;
-  auto PlanMoves(round& plan, mono_time now) -> void;
-  auto ListHottest(const round& plan) const
-      -> std::vector<const catalogue_model*>;
-  auto FindBestMove(const round& plan) const -> std::optional<candidate_move>;
-  auto Carry(round& plan, const candidate_move& move, mono_time now) -> void;
-  auto PlanAdapters(round& plan, mono_time now) -> void;
-  auto PlanOneAdapter(round& plan, const adapter_place& wanted, mono_time now)
+  auto FollowIntents(planner_round& plan, mono_time now) -> void;
+  auto PlanMissing(planner_round& plan, mono_time now) -> void;
+  auto FindPlace(const planner_round& plan, std::size_t model) const
+      -> std::optional<candidate_move>;
+  // Returns the spare copy on a server that is asked for least.
+  auto FindSpare(const planner_round& plan, std::size_t server) const
+      -> std::optional<std::size_t>;
+  auto PlanMoves(planner_round& plan, mono_time now) -> void;
+  auto ListHottest(const planner_round& plan) const -> std::vector<std::size_t>;
+  auto FindBestMove(const planner_round& plan) const
+      -> std::optional<candidate_move>;
+  // Returns what a move lowers the sum of the squared loads by, less its price.
+  auto GetGain(const planner_round& plan, const candidate_move& move) const
+      -> double;
+  auto Carry(planner_round& plan, const candidate_move& move, mono_time now)
       -> void;
+  auto PlanAdapters(planner_round& plan, mono_time now) -> void;
+  auto PlanOneAdapter(planner_round& plan,
+                      const adapter_place& wanted,
+                      mono_time now) -> void;
   auto FindIdleAdapter(const backend_status& status, mono_time now) const
       -> std::optional<adapter_place>;
 
--- a/main/order_desk.cc
+++ b/main/order_desk.cc
@@ -194,19 +194,30 @@
   });
 }
 
-auto order_desk::Correct(backend_status& status) const -> void {
+auto order_desk::GetCorrection(const backend_status& status) const
+    -> std::optional<std::vector<held_model>> {
   const auto found = desks_.find(status.id);
   if (found == desks_.end() || found->second.born_ms != status.born_ms) {
-    return;
+    return std::nullopt;
   }
   const auto& desk = found->second;
-  if (desk.accepted) {
-    status.models = desk.held;
+  const auto& held = desk.accepted ? desk.held : status.models;
+  const auto is_leaving = [&desk](const held_model& model) {
+    return model.name == desk.leaving;
+  };
+  if (std::none_of(held.begin(), held.end(), is_leaving)) {
+    return held == status.models ? std::nullopt : std::optional(held);
   }
   // No gateway should send to a model that is about to go.
-  std::erase_if(status.models, [&desk](const held_model& model) {
-    return model.name == desk.leaving;
-  });
+  auto rest = held;
+  std::erase_if(rest, is_leaving);
+  return rest == status.models ? std::nullopt : std::optional(rest);
+}
+
+auto order_desk::Correct(backend_status& status) const -> void {
+  if (auto models = GetCorrection(status)) {
+    status.models = std::move(*models);
+  }
 }
 
 auto order_desk::Publish(const backend_name& id) -> void {
@@ -214,12 +225,9 @@
   if (record == nullptr) {
     return;
   }
-  auto corrected = record->status;
-  Correct(corrected);
-  if (corrected.models != record->status.models) {
-    registry_.Update(id, [&corrected](backend_status& status) {
-      status.models = corrected.models;
-    });
+  if (const auto models = GetCorrection(record->status)) {
+    registry_.Update(
+        id, [&models](backend_status& status) { status.models = *models; });
   }
 }
 
@@ -291,7 +299,8 @@
       continue;
     }
     auto servers = std::vector<planner_server>();
-    // As the planner sees them: with what they hold for sure.
+    // Copies of those that the planner sees otherwise: with what they hold for
+    // sure.
     auto views = std::list<backend_status>();
     for (const auto& [id, record] : registry_.get_records()) {
       const auto& status = record.status;
@@ -302,12 +311,14 @@
       auto& desk = GetDesk(status);
       const auto is_waiting = desk.is_open || now < desk.not_before;
       Publish(id);
-      views.push_back(status);
-      if (desk.accepted) {
+      const auto* view = &status;
+      if (desk.accepted && desk.held != status.models) {
+        views.push_back(status);
         views.back().models = desk.held;
+        view = &views.back();
       }
-      servers.push_back({&views.back(), loads_[id],
-                         is_waiting || !desk.accepted.has_value()});
+      servers.push_back(
+          {view, loads_[id], is_waiting || !desk.accepted.has_value()});
     }
     const auto orders = planner_.Plan(*service.engine, servers, now);
     for (const auto& order : orders) {
--- a/main/order_desk.h
+++ b/main/order_desk.h
@@ -55,7 +55,11 @@
   auto OnAnswer(const backend_name& id, const model_order& order, int status)
       -> void;
   auto OnNoAnswer(const backend_name& id, const model_order& order) -> void;
-  // Tells gateways what a server holds, where that is known better here.
+  // Returns what a server holds, without what is about to go, where that is
+  // known better here than `status` says.
+  auto GetCorrection(const backend_status& status) const
+      -> std::optional<std::vector<held_model>>;
+  // Tells gateways of such a correction.
   auto Publish(const backend_name& id) -> void;
   auto Forget(const backend_name& id, duration pause) -> void;
   auto Finish(const backend_name& id) -> void;
