Streams log their first event and longest pause; test ports below the ephemeral range

Ruled out: the gateway itself. Change: free ports are looked for from 12000 to 29999, each used once in a run. The line "answered" says when the first event was passed on and the longest pause after it, since lateness of a stream showed in no line.

--- a/main/relay_session.cc
+++ b/main/relay_session.cc
@@ -353,14 +353,24 @@
   }
 }
 
+auto relay_session::NotePause() -> void {
+  const auto now = context_.loop.get_now();
+  if (shown_ == mono_time()) {
+    first_event_ = now - call_.began;
+    context_.counters.Observe(
+        "ebony_first_event_seconds",
+        std::chrono::duration<double>(first_event_).count());
+  } else {
+    longest_pause_ = std::max(longest_pause_, duration(now - shown_));
+  }
+  shown_ = now;
+}
+
 auto relay_session::ShowEvents(std::string_view bytes) -> void {
   if (!answer_->has_begun()) {
     answer_->Begin(platform::MakeCallerHead(head_));
-    context_.counters.Observe(
-        "ebony_first_event_seconds",
-        std::chrono::duration<double>(context_.loop.get_now() - call_.began)
-            .count());
   }
+  NotePause();
   if (rule_.repeat != repeat_rule::resumable) {
     answer_->Append(bytes);
   } else {
--- a/main/relay_session.h
+++ b/main/relay_session.h
@@ -98,7 +98,10 @@
 
   // A stream that is being shown.
   sse_reader reader_;
-  std::string last_event_;  // id of the newest event that the caller has
+  std::string last_event_;     // id of the newest event that the caller has
+  mono_time shown_;            // when the newest bytes were passed on
+  duration first_event_{0};    // from the call to the first bytes
+  duration longest_pause_{0};  // between two pieces passed on
 
   auto IsEngine() const -> bool { return service_.engine.has_value(); }
   auto GetTimeLeft() const -> duration;
@@ -118,6 +121,7 @@
   auto OnHead(const http_head& head) -> bool;
   auto OnBody(std::string_view bytes) -> void;
   auto ShowEvents(std::string_view bytes) -> void;
+  auto NotePause() -> void;
   auto OnWhole() -> void;
   auto MayGoOn(relay_end end) -> bool;
   auto OnAttemptEnd(relay_end end) -> void;
--- a/main/relay_session_end.cc
+++ b/main/relay_session_end.cc
@@ -147,6 +147,8 @@
        {"backend", server_.get()},
        {"attempts", static_cast<std::int64_t>(attempts_)},
        {"config", static_cast<std::int64_t>(table_->get_config().number.get())},
+       {"first_ms", first_event_},
+       {"pause_ms", longest_pause_},
        {"took_ms", duration(took)}});
 }
 
--- a/tests/gateway_world.cc
+++ b/tests/gateway_world.cc
@@ -1,9 +1,12 @@
 #include "tests/gateway_world.h"
 
 #include <boost/test/unit_test.hpp>
+#include <random>
+#include <stdexcept>
 #include <utility>
 
 #include "codec/site_codec.h"
+#include "core/error_kind.h"
 #include "drivers/compression.h"
 
 namespace ebony::testing {
@@ -14,9 +17,26 @@
 
 constexpr auto kPatience = std::chrono::seconds(5);
 
+// The kernel gives ports above these to outgoing connections at any time.
+constexpr auto kFirstPort = std::uint16_t{12000};
+constexpr auto kPorts = std::uint16_t{18000};
+
 auto FindFreePort() -> std::uint16_t {
+  static auto next = std::random_device()() % kPorts;
   auto loop = event_loop();
-  return stream_acceptor(loop, host_port("127.0.0.1:0"), [](int) {}).GetPort();
+  for (auto tries = 0; tries < kPorts; ++tries) {
+    next = (next + 1) % kPorts;
+    const auto port = static_cast<std::uint16_t>(kFirstPort + next);
+    try {
+      return stream_acceptor(loop,
+                             host_port("127.0.0.1:" + std::to_string(port)),
+                             [](int) {})
+          .GetPort();
+    } catch (const ebony_error&) {
+      continue;  // somebody listens there
+    }
+  }
+  throw std::runtime_error("no free port");
 }
 
 auto MakeRouteText(const std::string& name,
