The demo waits until its models answer

Cause: it waited until status named no model at risk, which also holds before the leader has planned for the first time; its first request then got no_backend. Ruled out: a model lost again (status showed both replicas on their way). Change: it waits until entry 1 answers a request for each model it calls.

--- a/deploy/demo.sh
+++ b/deploy/demo.sh
@@ -20,6 +20,8 @@
 echo "== an operator applies a record"
 ctl apply deploy/example_record.json --wait
 wait_for 30 all_models_serve
+wait_for 30 model_answers 1 fonds-drafter
+wait_for 30 model_answers 1 record-abstracts:reading-room
 ctl status
 
 entry=$(entry_http 1)
--- a/deploy/local_site.sh
+++ b/deploy/local_site.sh
@@ -144,6 +144,14 @@
   for i in $(seq "$ENTRY_COUNT"); do wait_for 20 entry_is_ready "$i"; done
 }
 
+# Succeeds once entry VM $1 answers a request for model $2. Status alone does not
+# tell: before the leader has planned it knows of no model that lacks a replica.
+model_answers() {
+  curl -sf "http://$(entry_http "$1")/v1/chat/completions" \
+    -H 'Content-Type: application/json' \
+    -d "{\"model\":\"$2\",\"max_tokens\":1,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}"
+}
+
 # Succeeds when no declared model lacks a replica.
 all_models_serve() {
   local status
