Batch slots are filled to 1.25

Cause: a server queues a few requests beside its batch; with exact loads a gateway keeps requests back until it hears of a freed slot, and the slot idles meanwhile. Change: engine_fill 1.0 to 1.25; 1.5 was tried. Conclusion: 1.25 kept; more makes running streams late when the site is full.

--- a/entry/server_board.h
+++ b/entry/server_board.h
@@ -22,7 +22,7 @@
   // Requests for each slot of a plain service that may be under way.
   double plain_fill = 2.0;
   // Requests for each batch slot of an engine that may be under way.
-  double engine_fill = 1.0;
+  double engine_fill = 1.25;
   // Prompt tokens that may wait to be read at one engine; more of them hold up
   // the events of the streams that it is writing.
   double max_prefill_tokens = 3500;
