--- a/entry/server_board.cc
+++ b/entry/server_board.cc
@@ -71,7 +71,7 @@
   const auto load = GetLoad(status.id, now);
   const auto fill =
       query.is_engine ? options_.engine_fill : options_.plain_fill;
-  if (load.requests >= status.slots * fill) {
+  if (load.requests + 1 > status.slots * fill) {
     return false;
   }
   return !query.is_engine || query.ignores_prefill || load.tokens <= 0 ||
--- a/entry/server_board.h
+++ b/entry/server_board.h
@@ -21,7 +21,9 @@
 struct server_board_options {
   // Requests for each slot of a plain service that may be under way.
   double plain_fill = 2.0;
-  // Requests for each batch slot of an engine that may be under way.
+  // Requests for each batch slot of an engine that may be under way: the server
+  // queues the rest, so that a freed slot does not wait for the gateways to
+  // hear of it.
   double engine_fill = 1.25;
   // Prompt tokens that may wait to be read at one engine; more of them hold up
   // the events of the streams that it is writing.
