A failed write leaves no part of a frame in the log; a torn start is cut

Cause: after a write that failed midway (a full disk) the next frame was appended behind the part that had been taken, and the next start stopped with "damaged before its end". A last frame whose end reached the disk before its start, as a loss of power can leave it, stopped the start as well. Ruled out: frames after such a one; each is synced before the next is written, so damage in front of a whole frame is damage, and still stops the start. Change: what a failed write left is cut before the next frame; a damaged frame counts as torn when no whole frame follows. The store takes its write call as a hook.

--- a/drivers/disk_store.cc
+++ b/drivers/disk_store.cc
@@ -60,8 +60,7 @@
                      [](char c) { return c == '\0'; });
 }
 
-// A crash can leave the last frame short, or its space unwritten. A bad frame
-// with more data behind it was durable once, so it is damage.
+// A crash can leave the last frame short, or parts of its space unwritten.
 auto ParseFrame(std::string_view rest) -> parsed_frame {
   auto frame = parsed_frame();
   if (rest.size() < sizeof(frame_header) || IsAllZero(rest)) {
@@ -89,6 +88,21 @@
   return frame;
 }
 
+// True when a whole frame lies behind the start of `rest`. Frames become
+// durable one after another, so what comes before it was durable once.
+auto HasLaterFrame(std::string_view rest) -> bool {
+  const auto magic = kFrameMagic;
+  const auto mark =
+      std::string_view(reinterpret_cast<const char*>(&magic), sizeof(magic));
+  for (auto at = rest.find(mark, 1); at != std::string_view::npos;
+       at = rest.find(mark, at + 1)) {
+    if (ParseFrame(rest.substr(at)).state == frame_state::whole) {
+      return true;
+    }
+  }
+  return false;
+}
+
 [[noreturn]] auto Fail(const std::string& path, const std::string& what)
     -> void {
   throw ebony_error(error_kind::storage_failed, path + ": " + what);
@@ -99,12 +113,14 @@
   Fail(path, what + ": " + std::strerror(errno));
 }
 
-auto WriteAll(int fd, const std::string& bytes, const std::string& path)
-    -> void {
+auto WriteAll(const disk_write& write,
+              int fd,
+              const std::string& bytes,
+              const std::string& path) -> void {
   auto written = std::size_t{0};
   while (written < bytes.size()) {
     const auto count =
-        ::write(fd, bytes.data() + written, bytes.size() - written);
+        write(fd, bytes.data() + written, bytes.size() - written);
     if (count < 0 && errno == EINTR) {
       continue;
     }
@@ -157,7 +173,8 @@
 
 }  // namespace
 
-disk_store::disk_store(std::string folder) : folder_(std::move(folder)) {}
+disk_store::disk_store(std::string folder, disk_write write)
+    : folder_(std::move(folder)), write_(std::move(write)) {}
 
 disk_store::~disk_store() {
   if (log_fd_ >= 0) {
@@ -190,7 +207,7 @@
     FailErrno(temporary, "cannot create");
   }
   try {
-    WriteAll(fd, bytes, temporary);
+    WriteAll(write_, fd, bytes, temporary);
     if (::fsync(fd) != 0) {
       FailErrno(temporary, "cannot sync");
     }
@@ -259,13 +276,14 @@
   const auto bytes = ReadFile(path).value_or("");
   auto offset = std::size_t{0};
   while (offset < bytes.size()) {
-    const auto frame = ParseFrame(std::string_view(bytes).substr(offset));
-    if (frame.state == frame_state::damaged) {
+    const auto rest = std::string_view(bytes).substr(offset);
+    const auto frame = ParseFrame(rest);
+    if (frame.state == frame_state::damaged && HasLaterFrame(rest)) {
       Fail(path, "damaged at byte " + std::to_string(offset) +
                      ", before its end; restore this voter on an empty "
                      "folder with --join");
     }
-    if (frame.state == frame_state::torn) {
+    if (frame.state != frame_state::whole) {
       break;
     }
     auto message = schema::disk_frame();
@@ -319,6 +337,17 @@
   return image;
 }
 
+// A frame behind a part of another one would be lost at the next start.
+auto disk_store::CutTornEnd() -> void {
+  if (!has_torn_end_) {
+    return;
+  }
+  if (::ftruncate(log_fd_, static_cast<off_t>(log_bytes_)) != 0) {
+    FailErrno(GetPath(kLogFile), "cannot cut a failed write");
+  }
+  has_torn_end_ = false;
+}
+
 auto disk_store::Persist(const raft_ready& ready) -> void {
   if (ready.hard) {
     hard_ = *ready.hard;
@@ -330,12 +359,15 @@
   if (!ready.hard && ready.append.empty()) {
     return;
   }
+  CutTornEnd();
   const auto bytes = EncodeFrame(ready.hard ? &hard_ : nullptr, ready.append);
-  WriteAll(log_fd_, bytes, GetPath(kLogFile));
+  has_torn_end_ = true;
+  WriteAll(write_, log_fd_, bytes, GetPath(kLogFile));
   if (::fdatasync(log_fd_) != 0) {
     FailErrno(GetPath(kLogFile), "cannot sync");
   }
   log_bytes_ += bytes.size();
+  has_torn_end_ = false;
 }
 
 auto disk_store::Compact(const snapshot& snap,
@@ -344,6 +376,7 @@
   const auto bytes = EncodeFrame(&hard_, rest);
   ReplaceFile(kLogFile, bytes);
   log_bytes_ = bytes.size();
+  has_torn_end_ = false;
   OpenLog();
 }
 
--- a/drivers/disk_store.h
+++ b/drivers/disk_store.h
@@ -1,6 +1,8 @@
 #ifndef EBONY_DRIVERS_DISK_STORE_H_
 #define EBONY_DRIVERS_DISK_STORE_H_
 
+#include <unistd.h>
+
 #include <functional>
 #include <optional>
 #include <string>
@@ -15,28 +17,35 @@
   membership group;  // first group; empty for a joiner
 };
 
+// Writes bytes to a descriptor, as write(2).
+using disk_write = std::function<ssize_t(int, const void*, std::size_t)>;
+
 // The durable state of one control voter in one data folder:
 //   identity  written once
 //   snapshot  replaced by rename
 //   log       appended, one frame for each sync; replaced by rename
-// Every frame carries a checksum. A torn last frame is cut at the start; any
-// other damage stops the start. All failures throw ebony_error of kind
+// Every frame carries a checksum. A torn last frame is cut at the start; damage
+// with a whole frame behind it stops the start. After a write that failed the
+// same frame can be written again. All failures throw ebony_error of kind
 // storage_failed and name the file.
 class disk_store {
   std::string folder_;
+  disk_write write_;
   int log_fd_ = -1;
-  std::uint64_t log_bytes_ = 0;
+  std::uint64_t log_bytes_ = 0;  // of whole frames
+  bool has_torn_end_ = false;    // a frame may lie behind them in part
   hard_state hard_;
 
   auto GetPath(const std::string& name) const -> std::string;
   auto ReplaceFile(const std::string& name, const std::string& bytes) -> void;
   auto SyncFolder() -> void;
   auto OpenLog() -> void;
+  auto CutTornEnd() -> void;
   auto LoadSnapshot() -> snapshot;
   auto LoadLog(raft_image& image) -> void;
 
  public:
-  explicit disk_store(std::string folder);
+  explicit disk_store(std::string folder, disk_write write = ::write);
   ~disk_store();
   disk_store(const disk_store&) = delete;
   auto operator=(const disk_store&) -> disk_store& = delete;
--- a/tests/tools_test.cc
+++ b/tests/tools_test.cc
@@ -108,6 +108,64 @@
   }
 }
 
+// Power went while the last frame was written: its end reached the disk and its
+// start did not.
+BOOST_AUTO_TEST_CASE(a_last_frame_without_its_start_is_cut) {
+  const auto whole = scratch_folder();
+  const auto identity = WriteLog(whole.get_path());
+  const auto frame = std::filesystem::file_size(whole.GetFile("log")) / 3;
+  for (auto lost = std::uintmax_t{1}; lost < frame; ++lost) {
+    const auto folder = scratch_folder();
+    std::filesystem::copy(whole.get_path(), folder.get_path(),
+                          std::filesystem::copy_options::recursive);
+    {
+      auto file = std::fstream(folder.GetFile("log"),
+                               std::ios::in | std::ios::out | std::ios::binary);
+      file.seekp(static_cast<std::streamoff>(frame * 2));
+      file << std::string(lost, '\0');
+    }
+    auto store = disk_store(folder.get_path());
+    BOOST_REQUIRE_EQUAL(store.Load(identity).entries.size(), 2U);
+  }
+}
+
+// The disk is full in the middle of a frame, for each length of what it took,
+// and takes the same entry later.
+BOOST_AUTO_TEST_CASE(a_write_that_failed_leaves_nothing_behind) {
+  for (auto taken = std::size_t{0}; taken < 40; ++taken) {
+    const auto folder = scratch_folder();
+    const auto identity = WriteLog(folder.get_path());
+    auto is_full = true;
+    auto left = taken;
+    auto ready = raft_ready();
+    ready.append = {MakeEntry(4)};
+    {
+      auto store = disk_store(
+          folder.get_path(),
+          [&](int fd, const void* bytes, std::size_t size) -> ssize_t {
+            if (!is_full) {
+              return ::write(fd, bytes, size);
+            }
+            if (left == 0) {
+              errno = ENOSPC;
+              return -1;
+            }
+            const auto count = ::write(fd, bytes, std::min(left, size));
+            left -= static_cast<std::size_t>(count);
+            return count;
+          });
+      store.Load(identity);
+      BOOST_REQUIRE_THROW(store.Persist(ready), ebony_error);
+      is_full = false;
+      store.Persist(ready);
+      ready.append = {MakeEntry(5)};
+      store.Persist(ready);
+    }
+    auto store = disk_store(folder.get_path());
+    BOOST_REQUIRE_EQUAL(store.Load(identity).entries.size(), 5U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_snapshot_newer_than_the_log_drops_what_it_covers) {
   const auto folder = scratch_folder();
   const auto identity = WriteLog(folder.get_path());
