ebonyctl leaves a silent control daemon after a second, and says so

Change: with several addresses a try lasts a second at most; a line on stderr names the silent one. A change keeps its id over all tries; `--wait` goes on at the next. The test failed before for the missing line, and passes. kill_leader, replace_voter and demo_path pass.

--- a/tools/ebonyctl.cc
+++ b/tools/ebonyctl.cc
@@ -33,6 +33,8 @@
 constexpr int kStatusNotInForce = 202;
 constexpr int kStatusUnavailable = 503;
 constexpr auto kRetryPause = milliseconds(200);
+// A daemon that is silent for this long is left for the next one.
+constexpr auto kSilence = milliseconds(1000);
 constexpr const char* kUsage =
     "usage: ebonyctl COMMAND [ARGUMENT] [FLAGS]\n"
     "  apply FILE        create or change the record in FILE (JSON)\n"
@@ -64,12 +66,13 @@
                 const std::string& method,
                 const std::string& path,
                 const std::string& body,
-                const std::string& change) -> http_answer {
+                const std::string& change,
+                milliseconds limit) -> http_answer {
     auto call = http_call();
     call.method = method;
     call.url = "http://" + address + path;
     call.body = body;
-    call.timeout = milliseconds(settings_.timeout_ms());
+    call.timeout = limit;
     call.headers = {"Content-Type: application/json"};
     if (!change.empty()) {
       call.headers.push_back("Idempotency-Key: " + change);
@@ -80,6 +83,14 @@
     return CallAndWait(client_, std::move(call));
   }
 
+  // With nobody else to ask, the one address gets all the time.
+  auto GetTryLimit(mono_time deadline) const -> milliseconds {
+    const auto left =
+        std::max(milliseconds(1),
+                 std::chrono::duration_cast<milliseconds>(deadline - GetNow()));
+    return settings_.control().size() > 1 ? std::min(left, kSilence) : left;
+  }
+
  public:
   explicit control_caller(schema::ctl_settings settings)
       : settings_(std::move(settings)) {
@@ -91,7 +102,8 @@
     client_.Start();
   }
 
-  // A change keeps its id over all tries, so that it takes effect once.
+  // A change keeps its id over all tries, so that it takes effect once; a wait
+  // for it goes on at the next daemon.
   auto Call(const std::string& method,
             const std::string& path,
             const std::string& body,
@@ -100,11 +112,16 @@
     auto answer = http_answer();
     while (GetNow() < deadline) {
       for (const auto& address : settings_.control()) {
-        answer = CallOnce(address, method, path, body, change);
+        answer = CallOnce(address, method, path, body, change,
+                          GetTryLimit(deadline));
         if (answer.end == http_end::whole &&
             answer.status != kStatusUnavailable) {
           return answer;
         }
+        if (answer.end != http_end::whole) {
+          std::cerr << "ebonyctl: " << address
+                    << " gave no answer; asking the next control address\n";
+        }
       }
       std::this_thread::sleep_for(kRetryPause);
     }
@@ -114,7 +131,7 @@
   auto CallEach(const std::string& path) -> std::vector<http_answer> {
     auto answers = std::vector<http_answer>();
     for (const auto& address : settings_.control()) {
-      answers.push_back(CallOnce(address, "GET", path, "", ""));
+      answers.push_back(CallOnce(address, "GET", path, "", "", kSilence));
     }
     return answers;
   }
