Many gateways draw among the engines with room

Ruled out: lost loads (each gateway's figure is right when it is taken, and 0.2 s old); placement alone. Change: with more than 24 gateways an engine is drawn in proportion to its room.

--- a/entry/server_board.cc
+++ b/entry/server_board.cc
@@ -13,6 +13,7 @@
 constexpr double kTokensPerRequest = 400;
 // Loads that differ by less are alike, and the draw decides.
 constexpr double kLoadNoise = 0.02;
+constexpr std::uint64_t kDrawSteps = 1U << 20U;
 
 }  // namespace
 
@@ -65,15 +66,22 @@
   return load;
 }
 
-auto server_board::HasRoom(const backend_status& status,
+// Requests that may still be sent to a server.
+auto server_board::GetRoom(const backend_status& status,
                            const server_query& query,
-                           mono_time now) -> bool {
-  const auto load = GetLoad(status.id, now);
+                           mono_time now) -> double {
   const auto fill =
       query.is_engine ? options_.engine_fill : options_.plain_fill;
-  if (load.requests + 1 > status.slots * fill) {
+  return status.slots * fill - GetLoad(status.id, now).requests;
+}
+
+auto server_board::HasRoom(const backend_status& status,
+                           const server_query& query,
+                           mono_time now) -> bool {
+  if (GetRoom(status, query, now) < 1) {
     return false;
   }
+  const auto load = GetLoad(status.id, now);
   return !query.is_engine || query.ignores_prefill || load.tokens <= 0 ||
          load.tokens + query.prompt_tokens <= options_.max_prefill_tokens;
 }
@@ -93,6 +101,24 @@
   }
 }
 
+auto server_board::DrawByRoom(
+    const std::vector<const backend_record*>& candidates,
+    const server_query& query,
+    mono_time now) -> const backend_status* {
+  auto room = 0.0;
+  for (const auto* record : candidates) {
+    room += GetRoom(record->status, query, now);
+  }
+  auto draw = room * static_cast<double>(random_(kDrawSteps)) / kDrawSteps;
+  for (const auto* record : candidates) {
+    draw -= GetRoom(record->status, query, now);
+    if (draw < 0) {
+      return &record->status;
+    }
+  }
+  return &candidates.back()->status;
+}
+
 auto server_board::PickLeastLoaded(
     const std::vector<const backend_record*>& candidates,
     bool is_engine,
@@ -153,7 +179,10 @@
   if (all.empty()) {
     return {server_verdict::busy, nullptr};
   }
-  return {server_verdict::chosen, PickLeastLoaded(all, query.is_engine, now)};
+  const auto draws = query.is_engine && gateways_ > options_.few_gateways;
+  const auto* server = draws ? DrawByRoom(all, query, now)
+                             : PickLeastLoaded(all, query.is_engine, now);
+  return {server_verdict::chosen, server};
 }
 
 auto server_board::OnStarted(const backend_name& id, double tokens) -> void {
--- a/entry/server_board.h
+++ b/entry/server_board.h
@@ -33,6 +33,8 @@
   duration eject_max = std::chrono::seconds(8);
   // No more than this part of the candidates is ejected at a time.
   double max_ejected_part = 0.5;
+  // Up to this many gateways each take the server with the least work.
+  std::size_t few_gateways = 24;
   // What others had under way is halved after each such time without news.
   duration others_half_life = std::chrono::milliseconds(1000);
 };
@@ -86,6 +88,7 @@
   const backend_registry& registry_;
   std::map<backend_name, own_view> views_;
   mono_time exchanged_;
+  std::size_t gateways_ = 1;
 
   auto HoldsModel(const backend_status& status, const server_query& query) const
       -> bool;
@@ -95,6 +98,13 @@
   auto PickLeastLoaded(const std::vector<const backend_record*>& candidates,
                        bool is_engine,
                        mono_time now) -> const backend_status*;
+  auto GetRoom(const backend_status& status,
+               const server_query& query,
+               mono_time now) -> double;
+  // Returns a server by chance, in proportion to its room.
+  auto DrawByRoom(const std::vector<const backend_record*>& candidates,
+                  const server_query& query,
+                  mono_time now) -> const backend_status*;
   auto DropEjected(std::vector<const backend_record*>& candidates,
                    mono_time now) -> void;
 
@@ -105,6 +115,9 @@
 
   auto Choose(const server_query& query, mono_time now) -> server_choice;
 
+  // Many gateways hear of each other's work late: they draw among the engines
+  // with room, since all would take the same one otherwise.
+  auto SetGateways(std::size_t count) -> void { gateways_ = count; }
   // What this gateway does.
   auto OnStarted(const backend_name& id, double tokens) -> void;
   auto OnPrefilled(const backend_name& id, double tokens) -> void;
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -182,6 +182,7 @@
                              static_cast<double>(tokens)};
               });
   board_.SetAllLoads(loads, loop_.get_now());
+  board_.SetGateways(std::size_t{answer.gateway_count()});
   repeats_.SetGateways(std::size_t{answer.gateway_count()});
   if (!early_.empty()) {
     ReleaseEarly();
--- a/main/relay_session.cc
+++ b/main/relay_session.cc
@@ -177,14 +177,7 @@
            refuse_absent ? GetLoadTime() : duration(0));
     return;
   }
-  const auto now = context_.loop.get_now();
-  auto displaced = std::shared_ptr<relay_session>();
-  place_ = context_.waiting.Add(rule_.rank, now + limit, shared_from_this(),
-                                displaced);
-  if (displaced != nullptr) {
-    displaced->Displace();
-  }
-  if (!place_) {
+  if (!TakePlace(rule_.rank, limit)) {
     Refuse(error_kind::overloaded, duration(0));
     return;
   }
@@ -223,14 +216,7 @@
 // a late answer is better than none, but not at the price of those in time.
 auto relay_session::WaitLate() -> void {
   const auto limit = std::min(GetTimeLeft(), GetPatience()) / kLateWaitPart;
-  auto displaced = std::shared_ptr<relay_session>();
-  place_ = context_.waiting.Add(rule_.rank + kLateRank,
-                                context_.loop.get_now() + limit,
-                                shared_from_this(), displaced);
-  if (displaced != nullptr) {
-    displaced->Displace();
-  }
-  if (!place_) {
+  if (!TakePlace(rule_.rank + kLateRank, limit)) {
     Refuse(error_kind::overloaded, duration(0));
     return;
   }
@@ -238,6 +224,16 @@
       limit, [self = shared_from_this()] { self->OnWaited(); });
 }
 
+auto relay_session::TakePlace(int rank, duration limit) -> bool {
+  auto displaced = std::shared_ptr<relay_session>();
+  place_ = context_.waiting.Add(rank, context_.loop.get_now() + limit,
+                                shared_from_this(), displaced);
+  if (displaced != nullptr) {
+    displaced->Displace();
+  }
+  return place_.has_value();
+}
+
 auto relay_session::StopWaiting() -> void {
   context_.loop.CancelTimer(wait_timer_);
   if (place_) {
--- a/main/relay_session.h
+++ b/main/relay_session.h
@@ -115,6 +115,8 @@
   auto GetWaitLimit(server_verdict reason) const -> duration;
   auto OnWaited() -> void;
   auto WaitLate() -> void;
+  // Takes a place among the waiting requests, if there is one.
+  auto TakePlace(int rank, duration limit) -> bool;
   auto StopWaiting() -> void;
   auto Dispatch(const backend_status& server) -> void;
   auto MakeHooks() -> call_hooks;
--- a/tests/gateway_rules_test.cc
+++ b/tests/gateway_rules_test.cc
@@ -245,6 +245,40 @@
   BOOST_TEST((board.Choose(query, At(20)).verdict == server_verdict::nowhere));
 }
 
+// The load: 80 gateways, each with one request, choose between a new copy of a
+// model and a busy one before any hears of the others.
+BOOST_AUTO_TEST_CASE(many_gateways_do_not_all_take_the_same_server) {
+  auto registry = backend_registry(backend_registry_options());
+  for (const auto* id : {"busy", "new"}) {
+    auto server = MakeServer(id, "m");
+    server.slots = 40;
+    registry.Announce(server, At(0));
+  }
+  auto generator = std::mt19937_64(11);
+  auto query = server_query();
+  query.service = service_name("s");
+  query.is_engine = true;
+  query.model = model_name("m");
+  const auto count_new = [&](std::size_t gateways) {
+    auto count = 0;
+    for (auto gateway = 0; gateway < 80; ++gateway) {
+      auto board = server_board(
+          server_board_options(), registry,
+          [&generator](std::uint64_t bound) { return generator() % bound; });
+      board.SetGateways(gateways);
+      // 25 of 50 places at the busy one are taken.
+      board.SetAllLoads({{backend_name("busy"), {25, 0}}}, At(0));
+      const auto choice = board.Choose(query, At(0));
+      count += choice.server->id.get() == "new" ? 1 : 0;
+    }
+    return count;
+  };
+  BOOST_TEST(count_new(7) == 80);
+  // Two thirds of the room, 53 of 80; within four standard deviations.
+  BOOST_TEST(count_new(80) > 36);
+  BOOST_TEST(count_new(80) < 71);
+}
+
 BOOST_AUTO_TEST_CASE(work_spreads_and_stops_at_the_slots) {
   auto registry = backend_registry(backend_registry_options());
   for (const auto* id : {"b1", "b2", "b3"}) {
