The registry survives a change of leader; a leader acts only on a fresh quorum

A server it had never heard of left; its departure carries neither start nor sequence, so the gateways' merge took it for older than the record they held and dropped it. The departure was acknowledged, and a gateway sent a request 2.08 s later. In the log no gateway has the event. Cause, servers that no longer exist: for the same reason a new leader never told of a server that crashed before it led, and gateways expired nothing.

Ruled out: the follower that acknowledged was not behind (it forwarded to the right leader); the gateways' syncs were not late.

Change: a departure is newer than any record of its start, and of every start when it names none; a follower that begins to lead starts from its copy of the registry; a replica suspects what a new source hasn't listed in 4 s and drops it after 30 s. Votes for a leader count from the time at which their round was sent (raft::HasFreshQuorum); orders and acknowledgements of departures need it, and an order's bytes are held against it right before they leave (call_options::may_send). The loop's clock goes on while the machine is suspended.

--- a/consensus/raft.cc
+++ b/consensus/raft.cc
@@ -7,6 +7,9 @@
 
 namespace {
 
+// Rounds whose start is remembered; older replies do not vouch.
+constexpr std::size_t kMaxRecordedRounds = 64;
+
 auto Contains(const std::vector<node_id>& ids, const node_id& id) -> bool {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
@@ -207,6 +210,10 @@
 
 auto raft::BroadcastHeartbeat() -> void {
   ++round_;
+  round_starts_[round_] = now_;
+  if (round_starts_.size() > kMaxRecordedRounds) {
+    round_starts_.erase(round_starts_.begin());
+  }
   next_heartbeat_ = now_ + options_.heartbeat;
   for (const auto& [id, peer] : progress_) {
     SendAppend(id, true);
@@ -362,6 +369,27 @@
   outbox_.push_back(std::move(reply));
 }
 
+auto raft::RecordVouch(peer_progress& peer, std::uint64_t round) -> void {
+  peer.acked_round = std::max(peer.acked_round, round);
+  const auto start = round_starts_.find(round);
+  if (start != round_starts_.end()) {
+    peer.vouched_at = std::max(peer.vouched_at, start->second);
+  }
+}
+
+auto raft::HasFreshQuorum(mono_time now) const -> bool {
+  if (role_ != raft_role::leader) {
+    return false;
+  }
+  auto vouching = std::set<node_id>{options_.self};
+  for (const auto& [id, peer] : progress_) {
+    if (now - peer.vouched_at < options_.election_min) {
+      vouching.insert(id);
+    }
+  }
+  return HasQuorum(vouching);
+}
+
 auto raft::OnAppendReply(const raft_message& reply) -> void {
   const auto found = progress_.find(reply.from);
   if (role_ != raft_role::leader || found == progress_.end()) {
@@ -369,7 +397,7 @@
   }
   auto& peer = found->second;
   peer.last_reply = now_;
-  peer.acked_round = std::max(peer.acked_round, reply.round);
+  RecordVouch(peer, reply.round);
   if (!reply.granted) {
     // A delayed rejection must not move `next` below the entries that the peer
     // has acknowledged.
--- a/consensus/raft.h
+++ b/consensus/raft.h
@@ -43,6 +43,9 @@
     log_index next{1};
     std::uint64_t acked_round = 0;
     mono_time last_reply;
+    // When the newest round was sent that the peer has replied to. The peer
+    // accepted this leader at that time or later.
+    mono_time vouched_at;
     bool is_snapshot_sent = false;  // and not yet acknowledged
     mono_time snapshot_sent_at;
   };
@@ -68,6 +71,7 @@
   std::set<node_id> votes_;
   std::map<node_id, peer_progress> progress_;
   std::uint64_t round_ = 0;
+  std::map<std::uint64_t, mono_time> round_starts_;  // of the latest rounds
   mono_time leader_since_;
 
   auto IsVoter(const node_id& id) const -> bool;
@@ -81,6 +85,7 @@
   auto SendAppend(const node_id& to, bool heartbeat) -> void;
   auto SendSnapshot(const node_id& to, peer_progress& peer) -> void;
   auto BroadcastHeartbeat() -> void;
+  auto RecordVouch(peer_progress& peer, std::uint64_t round) -> void;
   auto BroadcastAppend() -> void;
   auto AdvanceCommit() -> void;
   auto CheckQuorum() -> void;
@@ -139,6 +144,11 @@
   // Returns true if this node is the leader and the last committed entry is of
   // its own term.
   auto is_leader_ready() const -> bool;
+  // Returns true if a majority accepted this leader less than the minimum
+  // election timeout before `now`, so that no other member can lead at `now`.
+  // Replies count from the time at which their round was sent: after a pause of
+  // the process, old replies are still in its receive buffers.
+  auto HasFreshQuorum(mono_time now) const -> bool;
   // Heartbeat rounds for linearizable reads: a read notes the next round and is
   // current once the confirmed round has reached it. A round is confirmed by
   // the replies of a quorum; 0 if this node is not the leader.
--- a/core/backend_registry.cc
+++ b/core/backend_registry.cc
@@ -81,8 +81,29 @@
   return true;
 }
 
+auto backend_registry::MergeDeparture(const backend_record& record) -> bool {
+  const auto start_time_ms = record.status.start_time_ms;
+  auto [found, is_new] = records_.try_emplace(record.status.id, record);
+  auto& known = found->second;
+  if (!is_new &&
+      (known.has_left ||
+       (start_time_ms != 0 && start_time_ms < known.status.start_time_ms))) {
+    return false;
+  }
+  // The status is kept: a departure may come without address and service.
+  known.status.start_time_ms =
+      std::max(known.status.start_time_ms, start_time_ms);
+  known.has_left = true;
+  known.last_seen = record.last_seen;
+  known.revision = ++revision_;
+  return true;
+}
+
 auto backend_registry::Merge(const backend_record& record, mono_time now)
     -> bool {
+  if (record.has_left) {
+    return MergeDeparture(record);
+  }
   const auto found = records_.find(record.status.id);
   const auto is_newer =
       found == records_.end() || IsNewer(found->second, record.status, now);
@@ -92,7 +113,7 @@
       found->second.status.sequence <= record.status.sequence;
   const auto is_update_of_same_start =
       is_same_start && !found->second.has_left &&
-      (record.has_left || found->second.status != record.status ||
+      (found->second.status != record.status ||
        found->second.is_suspected != record.is_suspected);
   if (!is_newer && !is_update_of_same_start) {
     return false;
@@ -131,6 +152,18 @@
   return suspected;
 }
 
+auto backend_registry::Suspect(const backend_name& id, mono_time now) -> bool {
+  const auto found = records_.find(id);
+  if (found == records_.end() || found->second.is_suspected ||
+      found->second.has_left) {
+    return false;
+  }
+  found->second.is_suspected = true;
+  found->second.last_seen = now;
+  found->second.revision = ++revision_;
+  return true;
+}
+
 auto backend_registry::Refresh(mono_time now) -> void {
   for (auto& [id, record] : records_) {
     record.last_seen = now;
--- a/core/backend_registry.h
+++ b/core/backend_registry.h
@@ -43,6 +43,7 @@
   std::map<backend_name, backend_record> records_;
   std::uint64_t revision_ = 0;
 
+  auto MergeDeparture(const backend_record& record) -> bool;
   auto IsNewer(const backend_record& current,
                const backend_status& status,
                mono_time now) const -> bool;
@@ -57,7 +58,8 @@
   auto Leave(const backend_name& id, std::uint64_t start_time_ms, mono_time now)
       -> bool;
   // Applies a record of another daemon's registry if its content is newer.
-  // Returns whether it was applied.
+  // Returns whether it was applied. A departure is always newer than the other
+  // records of its start, and of any start if its own is unknown.
   auto Merge(const backend_record& record, mono_time now) -> bool;
   // Applies a change that the system itself caused, before the server announces
   // it.
@@ -66,6 +68,11 @@
   // Marks servers without recent announcements as suspected and removes expired
   // records. Returns the newly suspected servers.
   auto Expire(mono_time now) -> std::vector<backend_name>;
+  // Marks a server as suspected, as of `now`. Returns false if it was already,
+  // or has left.
+  auto Suspect(const backend_name& id, mono_time now) -> bool;
+  // Removes a record. Nothing is announced for it.
+  auto Remove(const backend_name& id) -> void { records_.erase(id); }
   // Sets the last-seen time of all records to `now`. For use after a time in
   // which announcements could not arrive.
   auto Refresh(mono_time now) -> void;
--- a/drivers/event_loop.cc
+++ b/drivers/event_loop.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "core/error_kind.h"
+#include "drivers/wakeup_event.h"
 
 namespace ebony {
 
@@ -18,11 +19,6 @@
 // Bounds the delay until a signal that arrives between two waits is handled.
 constexpr duration kMaxWait = std::chrono::milliseconds(200);
 
-auto ReadClock() -> mono_time {
-  return std::chrono::time_point_cast<duration>(
-      std::chrono::steady_clock::now());
-}
-
 auto MakeToken(int fd, std::uint32_t generation) -> std::uint64_t {
   return (static_cast<std::uint64_t>(generation) << 32U) |
          static_cast<std::uint32_t>(fd);
@@ -31,7 +27,7 @@
 }  // namespace
 
 event_loop::event_loop()
-    : epoll_fd_(::epoll_create1(EPOLL_CLOEXEC)), now_(ReadClock()) {
+    : epoll_fd_(::epoll_create1(EPOLL_CLOEXEC)), now_(GetNow()) {
   if (epoll_fd_ < 0) {
     throw ebony_error(error_kind::internal, "cannot create an epoll instance");
   }
@@ -119,7 +115,7 @@
 }
 
 auto event_loop::RefreshNow() -> mono_time {
-  now_ = std::max(now_, ReadClock());
+  now_ = std::max(now_, GetNow());
   return now_;
 }
 
--- a/drivers/http_pool.cc
+++ b/drivers/http_pool.cc
@@ -56,6 +56,7 @@
   duration keep_alive_time_ = kDefaultKeepAlive;
   mono_time idle_since_;
   timer_id connect_timer_;
+  std::function<bool()> may_send_;  // of the current call; may be empty
 
   auto ExpectResponse() -> void {
     is_skipping_ = false;
@@ -196,6 +197,10 @@
         self->OnClose(reason);
       }
     };
+    hooks.may_send = [weak] {
+      const auto self = weak.lock();
+      return self == nullptr || !self->may_send_ || self->may_send_();
+    };
     socket_->Connect(address_, std::move(hooks));
     connect_timer_ = pool_.loop_.AddTimerIn(connect_timeout, [weak] {
       const auto self = weak.lock();
@@ -206,9 +211,12 @@
     });
   }
 
-  auto Send(const std::string& bytes, bool is_head_request, call_hooks hooks)
-      -> void {
+  auto Send(const std::string& bytes,
+            bool is_head_request,
+            std::function<bool()> may_send,
+            call_hooks hooks) -> void {
     is_busy_ = true;
+    may_send_ = std::move(may_send);
     is_head_request_ = is_head_request;
     is_bodyless_ = false;
     hooks_ = std::move(hooks);
@@ -224,6 +232,7 @@
     pool_.loop_.CancelTimer(connect_timer_);
     is_busy_ = false;
     hooks_ = {};
+    may_send_ = nullptr;
     socket_->Close();
     pool_.busy_.erase(self);
     pool_.RemoveIdle(self);
@@ -298,7 +307,7 @@
     connection = std::make_shared<pooled_connection>(*this, address);
     connection->Open(options.connect_timeout);
   }
-  connection->Send(bytes, is_head_request, std::move(hooks));
+  connection->Send(bytes, is_head_request, options.may_send, std::move(hooks));
   return std::make_unique<pooled_call>(connection);
 }
 
--- a/drivers/http_pool.h
+++ b/drivers/http_pool.h
@@ -37,6 +37,9 @@
   // A pooled connection that has been idle for longer is not used for this
   // call.
   duration max_idle_time = std::chrono::seconds(1);
+  // Asked right before bytes of the call are sent; may be empty. The call fails
+  // if it returns false: with `not_sent` if no byte was sent before.
+  std::function<bool()> may_send;
 };
 
 class pooled_connection;
--- a/drivers/stream_socket.cc
+++ b/drivers/stream_socket.cc
@@ -143,6 +143,10 @@
 
 auto stream_socket::Flush() -> void {
   while (fd_ >= 0 && !unsent_.empty()) {
+    if (hooks_.may_send && !hooks_.may_send()) {
+      CloseAndReport(socket_close_reason::reset);
+      return;
+    }
     const auto count =
         ::send(fd_, unsent_.data(), unsent_.size(), MSG_NOSIGNAL);
     if (count < 0 && errno == EINTR) {
--- a/drivers/stream_socket.h
+++ b/drivers/stream_socket.h
@@ -25,6 +25,9 @@
   struct hooks {
     std::function<void(std::string_view)> on_bytes;
     std::function<void(socket_close_reason)> on_close;  // called at most once
+    // Called right before bytes are passed to the kernel; may be empty. If it
+    // returns false, nothing is sent and the connection is closed.
+    std::function<bool()> may_send;
   };
 
  private:
--- a/drivers/wakeup_event.cc
+++ b/drivers/wakeup_event.cc
@@ -40,8 +40,11 @@
 }
 
 auto GetNow() -> mono_time {
-  return std::chrono::time_point_cast<std::chrono::microseconds>(
-      std::chrono::steady_clock::now());
+  auto now = timespec();
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return mono_time(std::chrono::duration_cast<duration>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 }  // namespace ebony
--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -49,16 +49,17 @@
       pool_(loop),
       raft_(settings_, loop, pool_, log, counters, MakeStateMachine()),
       registry_(backend_registry_options()),
-      order_executor_(settings_,
-                      loop,
-                      pool_,
-                      log,
-                      counters,
-                      registry_,
-                      [this] {
-                        loop_.AddTimerIn(duration(0),
-                                         [this] { ExecuteOrders(); });
-                      }),
+      order_executor_(
+          settings_,
+          loop,
+          pool_,
+          log,
+          counters,
+          registry_,
+          [this] { return raft_.IsConfirmedLeader(); },
+          [this] {
+            loop_.AddTimerIn(duration(0), [this] { ExecuteOrders(); });
+          }),
       relay_(settings_.vm) {}
 
 auto coordinator_daemon::MakeStateMachine() -> replicated_state_machine {
@@ -226,6 +227,10 @@
     done(true);
     return;
   }
+  if (!raft_.IsConfirmedLeader()) {
+    done(false);  // another leader may serve the gateways
+    return;
+  }
   drain_acks_.Wait(record->revision, loop_.get_now(), std::move(done));
 }
 
@@ -344,7 +349,11 @@
       registry_epoch_ =
           settings_.vm.get() + "/" + std::to_string(raft_.get_term().get()) +
           "/" + std::to_string(loop_.get_now().time_since_epoch().count());
-      registry_ = backend_registry(backend_registry_options());
+      // Servers announce themselves here only from now on. Until then the copy
+      // of the previous leader's registry holds, so that a server which has
+      // left or failed meanwhile is known and its state can be passed on.
+      registry_ = relay_.get_registry();
+      registry_.Refresh(loop_.get_now());
       backend_index_.Clear();
       followers_.clear();
       load_totals_.Clear();
--- a/main/order_executor.cc
+++ b/main/order_executor.cc
@@ -54,6 +54,7 @@
                                event_log& log,
                                metrics& counters,
                                backend_registry& registry,
+                               std::function<bool()> is_confirmed_leader,
                                std::function<void()> on_server_ready)
     : settings_(settings),
       loop_(loop),
@@ -61,6 +62,7 @@
       log_(log),
       metrics_(counters),
       registry_(registry),
+      is_confirmed_leader_(std::move(is_confirmed_leader)),
       on_server_ready_(std::move(on_server_ready)),
       planner_(model_planner_options()) {}
 
@@ -190,6 +192,7 @@
   auto options = call_options();
   // An idle connection may already be closed by the server, so none is reused.
   options.max_idle_time = duration(0);
+  options.may_send = is_confirmed_leader_;
   metrics_.Count(order.is_load ? "ebony_orders_total{op=\"load\"}"
                                : "ebony_orders_total{op=\"unload\"}");
   state.call =
@@ -302,7 +305,9 @@
   // The order lease of the previous leader has expired after this time, so none
   // of its orders can follow.
   const auto may_send =
-      is_leading_ && now - leader_since_ > settings_.order_lease + kLeaseMargin;
+      is_leading_ &&
+      now - leader_since_ > settings_.order_lease + kLeaseMargin &&
+      is_confirmed_leader_();
   if (!may_send) {
     return;
   }
--- a/main/order_executor.h
+++ b/main/order_executor.h
@@ -43,6 +43,7 @@
   event_log& log_;
   metrics& metrics_;
   backend_registry& registry_;
+  std::function<bool()> is_confirmed_leader_;
   std::function<void()> on_server_ready_;  // a server can take its next order
   std::map<backend_name, server_state> server_states_;
   std::map<backend_name, double> requests_in_flight_;
@@ -77,6 +78,7 @@
                  event_log& log,
                  metrics& counters,
                  backend_registry& registry,
+                 std::function<bool()> is_confirmed_leader,
                  std::function<void()> on_server_ready);
 
   // `term` becomes the fencing number of all orders.
@@ -90,7 +92,8 @@
   // Records the number of requests in flight at a backend server.
   auto RecordLoad(const backend_name& id, double requests) -> void;
   // Plans orders and sends them to the servers that can take one. Sends none
-  // until the order lease of the previous leader has expired.
+  // until the order lease of the previous leader has expired, and no byte of an
+  // order while `is_confirmed_leader` returns false.
   auto Tick(const site_config& config) -> void;
 };
 
--- a/main/raft_node.cc
+++ b/main/raft_node.cc
@@ -488,6 +488,10 @@
   return raft_ != nullptr && !disk_failed_ && raft_->is_leader_ready();
 }
 
+auto raft_node::IsConfirmedLeader() const -> bool {
+  return is_leader() && raft_->HasFreshQuorum(loop_.RefreshNow());
+}
+
 auto raft_node::get_term() const -> term_number {
   return raft_->get_term();
 }
--- a/main/raft_node.h
+++ b/main/raft_node.h
@@ -119,6 +119,10 @@
   // True when this node leads, has committed an entry of its own term, and its
   // disk works.
   auto is_leader() const -> bool;
+  // Returns true if this node leads and a majority confirmed it recently, by a
+  // fresh reading of the clock. A leader that wakes up from a pause can still
+  // believe that it leads.
+  auto IsConfirmedLeader() const -> bool;
   auto get_term() const -> term_number;
   // Address at which the leader serves other daemons, or empty when the leader
   // is unknown.
--- a/main/registry_replica.cc
+++ b/main/registry_replica.cc
@@ -4,7 +4,7 @@
 
 namespace ebony {
 
-registry_replica::registry_replica() : registry_(backend_registry_options()) {}
+registry_replica::registry_replica() : registry_(options_) {}
 
 auto registry_replica::FillRequest(schema::sync_request& request) const
     -> void {
@@ -19,6 +19,7 @@
   if (is_new_source) {
     source_ = answer.roster_source();
     index_.Clear();
+    source_since_ = now;
     // Servers announce themselves to the new leader only from now on, so
     // existing records must not expire before it has heard from them.
     registry_.Refresh(now);
@@ -28,10 +29,32 @@
     const auto record = ToDomain(row, now);
     index_.Insert(row.number(), record.status.id);
     if (registry_.Merge(record, now)) {
-      on_change(record);
+      on_change(*registry_.Find(record.status.id));
     }
   }
+  ExpireUnlisted(now, on_change);
   return is_new_source;
 }
 
+auto registry_replica::ExpireUnlisted(mono_time now,
+                                      const change_hook& on_change) -> void {
+  const auto age = now - source_since_;
+  if (age <= options_.suspect_after) {
+    return;
+  }
+  auto unlisted = std::vector<backend_name>();
+  for (const auto& [id, record] : registry_.get_records()) {
+    if (index_.GetNumber(id) == 0) {
+      unlisted.push_back(id);
+    }
+  }
+  for (const auto& id : unlisted) {
+    if (age > options_.remove_after) {
+      registry_.Remove(id);
+    } else if (registry_.Suspect(id, now)) {
+      on_change(*registry_.Find(id));
+    }
+  }
+}
+
 }  // namespace ebony
--- a/main/registry_replica.h
+++ b/main/registry_replica.h
@@ -13,17 +13,26 @@
 
 // A daemon's copy of the leader's registry of backend servers, updated from the
 // answers to the daemon's sync requests. Records from a previous leader stay
-// valid until the new leader replaces them.
+// valid until the new leader replaces them. Records that it does not list
+// within the time in which a live server announces itself are suspected, and
+// removed later.
 class registry_replica {
+ public:
+  // Called for each record that an answer changed.
+  using change_hook = std::function<void(const backend_record&)>;
+
+ private:
+  backend_registry_options options_;
   backend_registry registry_;
   backend_index index_;  // as assigned by `source_`
   std::string source_;   // leader and term
   std::uint64_t revision_ = 0;
+  mono_time source_since_;  // first answer of `source_`
 
- public:
-  // Called for each record that an answer changed.
-  using change_hook = std::function<void(const backend_record&)>;
+  // Suspects the records that `source_` has not listed, then removes them.
+  auto ExpireUnlisted(mono_time now, const change_hook& on_change) -> void;
 
+ public:
   registry_replica();
 
   // Sets the source and revision of this copy in `request`, so that the answer
--- a/main/sync_relay.h
+++ b/main/sync_relay.h
@@ -59,6 +59,10 @@
   // Returns true if this relay may answer gateways: there are more of them than
   // the leader serves directly, and the leader's last answer is not stale.
   auto CanServeGateways(mono_time now) const -> bool;
+  // The latest copy of the leader's registry.
+  auto get_registry() const -> const backend_registry& {
+    return registry_.get_registry();
+  }
   auto HasGateways() const -> bool { return !gateways_.empty(); }
   // Returns true if the next sync with the leader should not wait for the
   // regular interval, because a model or adapter is missing.
--- a/tests/backend_registry_test.cc
+++ b/tests/backend_registry_test.cc
@@ -118,6 +118,36 @@
   BOOST_TEST(gateway.Find(backend_name("b"))->has_left);
 }
 
+// A new leader may learn of a server only by its departure, and then knows
+// neither its start nor its sequence.
+BOOST_AUTO_TEST_CASE(a_departure_that_names_no_start_reaches_the_gateways) {
+  for (const auto start_time_ms : {std::uint64_t{0}, std::uint64_t{10}}) {
+    auto gateway = MakeRegistry();
+    gateway.Announce(MakeStatus(10, 9), At(0));
+    auto new_leader = MakeRegistry();
+    new_leader.Leave(backend_name("b"), start_time_ms, At(20));
+    BOOST_TEST(gateway.Merge(*new_leader.Find(backend_name("b")), At(30)));
+    const auto& record = *gateway.Find(backend_name("b"));
+    BOOST_TEST(record.has_left);
+    BOOST_TEST(record.status.address.get() == "10.0.0.1:1");
+    // A later start of the server is not affected.
+    auto restarted = backend_record();
+    restarted.status = MakeStatus(11, 1);
+    BOOST_TEST(gateway.Merge(restarted, At(40)));
+    BOOST_TEST(!gateway.Find(backend_name("b"))->has_left);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_departure_of_an_earlier_start_is_not_merged) {
+  auto gateway = MakeRegistry();
+  gateway.Announce(MakeStatus(11, 1), At(0));
+  auto departure = backend_record();
+  departure.status = MakeStatus(10, 99);
+  departure.has_left = true;
+  BOOST_TEST(!gateway.Merge(departure, At(10)));
+  BOOST_TEST(!gateway.Find(backend_name("b"))->has_left);
+}
+
 BOOST_AUTO_TEST_CASE(a_record_is_unchanged_by_encoding_and_decoding) {
   auto record = backend_record();
   record.status = MakeStatus(10, 7, true);
--- /dev/null
+++ b/tests/http_pool_test.cc
@@ -0,0 +1,68 @@
+#include "drivers/http_pool.h"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+namespace ebony::testing {
+
+namespace {
+
+// A listener on loopback that counts the bytes it receives.
+struct byte_counter {
+  event_loop& loop;
+  std::size_t received = 0;
+  std::vector<std::shared_ptr<stream_socket>> sockets;
+  stream_acceptor acceptor;
+
+  explicit byte_counter(event_loop& used_loop)
+      : loop(used_loop),
+        acceptor(loop, host_port("127.0.0.1:0"), [this](int fd) {
+          Adopt(fd);
+        }) {}
+
+  auto Adopt(int fd) -> void {
+    auto hooks = stream_socket::hooks();
+    hooks.on_bytes = [this](std::string_view bytes) {
+      received += bytes.size();
+    };
+    sockets.push_back(std::make_shared<stream_socket>(loop));
+    sockets.back()->Adopt(fd, std::move(hooks));
+  }
+
+  auto GetAddress() const -> host_port {
+    return host_port("127.0.0.1:" + std::to_string(acceptor.GetPort()));
+  }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(http_pool_rules)
+
+// Load that it answers: a leader is paused while its connection for an order is
+// being made, and has lost the leadership when the connection is ready.
+BOOST_AUTO_TEST_CASE(a_call_that_may_no_longer_be_sent_sends_no_byte) {
+  auto loop = event_loop();
+  auto pool = http_pool(loop);
+  auto peer = byte_counter(loop);
+  auto may_send = true;
+  auto failure = std::optional<call_failure>();
+  auto hooks = call_hooks();
+  hooks.on_failed = [&failure](call_failure reason) { failure = reason; };
+  auto options = call_options();
+  options.may_send = [&may_send] { return may_send; };
+  const auto call = pool.Start(peer.GetAddress(),
+                               RenderPost("/order", peer.GetAddress(), "{}"),
+                               false, options, std::move(hooks));
+  may_send = false;  // after the call has started, before it is connected
+  loop.Run([&] { return failure.has_value(); });
+  BOOST_TEST((*failure == call_failure::not_sent));
+  auto is_settled = false;
+  loop.AddTimerIn(std::chrono::milliseconds(20),
+                  [&is_settled] { is_settled = true; });
+  loop.Run([&] { return is_settled; });
+  BOOST_TEST(peer.received == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace ebony::testing
--- a/tests/raft_harness.cc
+++ b/tests/raft_harness.cc
@@ -14,6 +14,8 @@
 
 using std::chrono::milliseconds;
 
+// Shortest election timeout of the members.
+constexpr duration kElectionMin = milliseconds(200);
 constexpr auto kDownTime = milliseconds(700);
 constexpr auto kMessageDelay = milliseconds(900);
 constexpr auto kPartitionTime = milliseconds(1500);
@@ -25,7 +27,7 @@
   auto options = raft_options();
   options.self = self;
   options.heartbeat = milliseconds(50);
-  options.election_min = milliseconds(200);
+  options.election_min = kElectionMin;
   options.election_max = milliseconds(400);
   return options;
 }
@@ -86,11 +88,25 @@
   }
   const auto [seen, is_new] =
       leaders_.emplace(item.protocol->get_term(), item.id);
+  leader_since_.try_emplace(item.protocol->get_term(), now_);
   if (!is_new && seen->second != item.id) {
     FailInvariant("two leaders in one term");
   }
 }
 
+auto raft_harness::CheckFreshLeaders() -> void {
+  for (const auto& [id, item] : nodes_) {
+    if (!item.protocol || !item.protocol->HasFreshQuorum(GetLocalTime(item))) {
+      continue;
+    }
+    const auto successor = leader_since_.upper_bound(item.protocol->get_term());
+    if (successor != leader_since_.end() &&
+        now_ - successor->second > kElectionMin) {
+      FailInvariant("a deposed leader has a fresh quorum");
+    }
+  }
+}
+
 auto raft_harness::Apply(node& item, const log_entry& entry) -> void {
   const auto payload =
       std::to_string(static_cast<int>(entry.kind)) + entry.payload;
@@ -219,6 +235,7 @@
   }
   target.protocol->Step(GetLocalTime(target), item.message);
   ProcessReady(target, fault);
+  CheckFreshLeaders();
 }
 
 auto raft_harness::Run(duration time) -> void {
--- a/tests/raft_harness.h
+++ b/tests/raft_harness.h
@@ -57,7 +57,8 @@
   std::map<std::uint64_t, raft_fault> faults_;
   std::set<std::pair<vm_name, vm_name>> partitions_;  // from, to
   mono_time heal_at_;
-  std::map<term_number, node_id> leaders_;    // leader seen in each term
+  std::map<term_number, node_id> leaders_;  // leader seen in each term
+  std::map<term_number, mono_time> leader_since_;
   std::map<log_index, std::string> applied_;  // kind and payload
   std::set<node_id> joiners_;
 
@@ -68,6 +69,10 @@
   auto Deliver(const in_flight_message& item, raft_fault fault) -> void;
   auto Apply(node& item, const log_entry& entry) -> void;
   auto CheckSingleLeader(const node& item) -> void;
+  // Fails if a leader still has a fresh quorum when a member of a later term
+  // has led for the minimum election timeout. The holders of order leases rely
+  // on this, also after a pause of their process.
+  auto CheckFreshLeaders() -> void;
   auto PopDueMessage() -> std::optional<in_flight_message>;
   auto GetLocalTime(const node& item) const -> mono_time;
   auto Partition(const node_id& from, const node_id& to, bool both_ways)
--- a/tests/sync_relay_test.cc
+++ b/tests/sync_relay_test.cc
@@ -132,6 +132,45 @@
   BOOST_TEST(relay.CanServeGateways(now));
 }
 
+// Load that it answers: the leader is lost while servers crash. They never
+// announce themselves to the next leader, which lists only the others.
+BOOST_AUTO_TEST_CASE(servers_that_a_new_leader_does_not_list_are_dropped) {
+  SyncWithLeader();
+  auto replica = registry_replica();
+  Sync("edge-1", replica);
+  source = "leader/2";
+  registry = backend_registry(backend_registry_options());
+  index.Clear();
+  Announce("i-2", 1);
+  const auto changed_at = now;
+  const auto find = [&](std::int64_t after_ms) {
+    now = changed_at + milliseconds(after_ms);
+    SyncWithLeader();
+    Sync("edge-1", replica);
+    return replica.get_registry().Find(backend_name("i-1"));
+  };
+  BOOST_REQUIRE(find(100) != nullptr);
+  BOOST_TEST(!find(3900)->is_suspected);
+  BOOST_TEST(find(9000)->is_suspected);
+  BOOST_TEST(find(90000) == nullptr);
+  const auto* listed = replica.get_registry().Find(backend_name("i-2"));
+  BOOST_REQUIRE(listed != nullptr);
+  BOOST_TEST(!listed->is_suspected);
+}
+
+// A follower that becomes the leader starts from this copy, so a server that
+// leaves without another announcement is known by its start.
+BOOST_AUTO_TEST_CASE(a_follower_keeps_a_copy_of_the_leaders_registry) {
+  SyncWithLeader();
+  auto own = relay.get_registry();
+  BOOST_TEST(own.get_records().size() == 2U);
+  own.Refresh(now);
+  own.Leave(backend_name("i-1"), 0, now);
+  BOOST_TEST(own.Find(backend_name("i-1"))->status.start_time_ms == 5U);
+  now += milliseconds(4100);
+  BOOST_TEST(own.Expire(now).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_gateway_gets_the_registry_once_and_then_its_changes) {
   SyncWithLeader();
   auto replica = registry_replica();
