Placing by saved work: spread of demand, value of a move, quick suspicion

Copies were judged by demand divided by copies, though gateways send to the least loaded holder; a move's value didn't depend on how long the load takes; first copies of unasked models went before second ones of the asked; crashed servers counted for 4 s and more.

--- a/control/model_planner.cc
+++ b/control/model_planner.cc
@@ -7,8 +7,6 @@
 
 namespace {
 
-// Cost of a move, in squared server load, for each second of its load time.
-constexpr double kCostPerLoadSecond = 0.01;
 // A pending load expires after twice its load time plus this.
 constexpr duration kPendingLoadSlack = std::chrono::seconds(3);
 
@@ -24,21 +22,6 @@
   return std::chrono::duration<double>(value).count();
 }
 
-// Returns the change of the sum of the squared loads when the load of each
-// holder of a model, except server `except`, changes by `change`.
-auto GetCostChange(const planner_round& plan,
-                   std::size_t model,
-                   std::size_t except,
-                   double change) -> double {
-  auto sum = 0.0;
-  for (const auto holder : plan.get_holders(model)) {
-    if (holder != except) {
-      sum += change * (2 * plan.get_state(holder).load + change);
-    }
-  }
-  return sum;
-}
-
 }  // namespace
 
 model_planner::model_planner(model_planner_options options)
@@ -199,57 +182,52 @@
   return evictable;
 }
 
-auto model_planner::ListHotModels(const planner_round& plan) const
+auto model_planner::ListHotModels(const planner_round& plan,
+                                  const load_distribution& loads) const
     -> std::vector<std::size_t> {
   auto models = std::vector<std::size_t>();
   for (auto i = std::size_t{0}; i < plan.get_engine().models.size(); ++i) {
-    if (!plan.get_holders(i).empty() && plan.get_demand(i) > 0) {
+    if (plan.get_demand(i) >= options_.min_demand) {
       models.push_back(i);
     }
   }
-  const auto per_copy = [&plan](std::size_t model) {
-    return plan.get_demand(model) /
-           static_cast<double>(plan.get_holders(model).size());
+  const auto get_weight = [&](std::size_t model) {
+    return loads.GetPressure(model) * loads.get_demand(model);
   };
   std::sort(models.begin(), models.end(),
-            [&per_copy](std::size_t left, std::size_t right) {
-              return per_copy(left) > per_copy(right);
+            [&get_weight](std::size_t left, std::size_t right) {
+              return get_weight(left) > get_weight(right);
             });
   models.resize(std::min(models.size(), options_.max_hot_models));
   return models;
 }
 
-auto model_planner::GetGain(const planner_round& plan,
-                            const candidate_move& move) const -> double {
-  const auto load = plan.get_demand(move.model);
-  const auto replicas =
-      static_cast<double>(plan.get_holders(move.model).size());
-  const auto seconds = ToSeconds(plan.GetLoadTime(move.server, move.model));
-  auto change = load / (replicas + 1);
-  auto gain =
-      -GetCostChange(plan, move.model, move.server, change - load / replicas);
-  gain -= options_.min_gain + kCostPerLoadSecond * seconds;
+auto model_planner::GetValue(const planner_round& plan,
+                             const load_distribution& loads,
+                             const candidate_move& move) const -> double {
+  const auto effect = loads.Evaluate({move.model, move.server, move.victim});
+  auto delay = ToSeconds(plan.GetLoadTime(move.server, move.model));
   if (move.victim) {
-    const auto victim_load = plan.get_demand(*move.victim);
-    const auto count =
-        static_cast<double>(plan.get_holders(*move.victim).size());
-    gain -= GetCostChange(plan, *move.victim, move.server,
-                          victim_load / (count - 1) - victim_load / count);
-    change -= victim_load / count;
+    delay += plan.get_demand(*move.victim) < options_.min_demand
+                 ? options_.idle_unload_seconds
+                 : options_.busy_unload_seconds;
   }
-  return gain - change * (2 * plan.get_state(move.server).load + change);
+  const auto remaining =
+      std::max(0.0, ToSeconds(options_.demand_horizon) - delay);
+  return effect.gain * remaining - effect.interim_loss * delay;
 }
 
-auto model_planner::FindBestMove(const planner_round& plan) const
+auto model_planner::FindBestMove(const planner_round& plan,
+                                 const load_distribution& loads) const
     -> std::optional<candidate_move> {
   auto best = std::optional<candidate_move>();
   const auto consider = [&](candidate_move move) {
-    move.gain = GetGain(plan, move);
-    if (move.gain > 0 && (!best || move.gain > best->gain)) {
+    move.gain = GetValue(plan, loads, move);
+    if (move.gain > options_.min_value && (!best || move.gain > best->gain)) {
       best = move;
     }
   };
-  for (const auto model : ListHotModels(plan)) {
+  for (const auto model : ListHotModels(plan, loads)) {
     const auto weights = plan.get_model(model).weights_mb;
     for (auto i = std::size_t{0}; i < plan.get_server_count(); ++i) {
       if (!plan.IsAvailable(i) || plan.Holds(i, model) ||
@@ -272,15 +250,50 @@
 }
 
 auto model_planner::PlanMoves(planner_round& plan, mono_time now) -> void {
+  auto loads = load_distribution(plan.get_demands(), plan.get_all_holders(),
+                                 plan.get_server_count());
   for (auto count = std::size_t{0}; count < options_.max_moves_per_round;
        ++count) {
-    plan.UpdateLoads();
-    const auto move = FindBestMove(plan);
+    const auto move = FindBestMove(plan, loads);
     if (!move) {
-      return;
+      break;
     }
+    loads.Apply({move->model, move->server, move->victim});
     IssueMove(plan, *move, now);
   }
+  FillFreeMemory(plan, loads, now);
+}
+
+auto model_planner::FillFreeMemory(planner_round& plan,
+                                   const load_distribution& loads,
+                                   mono_time now) -> void {
+  for (auto i = std::size_t{0}; i < plan.get_server_count(); ++i) {
+    if (!plan.IsAvailable(i)) {
+      continue;
+    }
+    auto best = std::optional<std::size_t>();
+    auto best_score = 0.0;
+    for (auto model = std::size_t{0}; model < plan.get_engine().models.size();
+         ++model) {
+      const auto has_tokens = plan.IsCached(i, model) ||
+                              store_tokens_ >= 1 + options_.reserved_store_tokens;
+      const auto holders = plan.get_holders(model).size();
+      if (!has_tokens || holders == 0 || plan.Holds(i, model) ||
+          !plan.HasCapacity(i, plan.get_model(model).weights_mb)) {
+        continue;
+      }
+      const auto score = (loads.GetPressure(model) * plan.get_demand(model) +
+                          options_.min_demand) /
+                         static_cast<double>(holders * holders);
+      if (!best || score > best_score) {
+        best = model;
+        best_score = score;
+      }
+    }
+    if (best) {
+      IssueMove(plan, {i, *best, std::nullopt, 0}, now);
+    }
+  }
 }
 
 auto model_planner::FindIdleAdapter(const backend_status& status,
@@ -372,8 +385,8 @@
   PlanAdapters(plan, now);
   if (now - models_planned_ >= options_.model_interval) {
     models_planned_ = now;
-    PlanFirstReplicas(plan, now);
     PlanMoves(plan, now);
+    PlanFirstReplicas(plan, now);
   }
   return plan.get_orders();
 }
--- a/control/model_planner.h
+++ b/control/model_planner.h
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "control/load_distribution.h"
 #include "control/planner_round.h"
 #include "core/site_config.h"
 
@@ -31,10 +32,21 @@
   duration model_interval = std::chrono::milliseconds(200);
   // Server time of a request: the prefill of its prompt, and a fixed part in
   // seconds for the rest.
-  double prefill_tokens_per_second = 25000;
-  double request_seconds = 0.03;
-  // Minimum gain, in squared server load, for which a replica is moved.
-  double min_gain = 0.06;
+  double prefill_tokens_per_second = 35000;
+  double request_seconds = 0.06;
+  // Minimum work, in seconds of a server's work, that a move has to save.
+  double min_value = 0.4;
+  // Demand for a model is assumed to last this long.
+  duration demand_horizon = std::chrono::seconds(12);
+  // Time in which an unload ends: of a model that is hardly used, and of one
+  // whose streams have to end first.
+  double idle_unload_seconds = 0.5;
+  double busy_unload_seconds = 4;
+  // Weight store tokens that are kept for urgent loads when free memory is
+  // filled.
+  double reserved_store_tokens = 2;
+  // Models with less demand, in loads of a server, get no further replica.
+  double min_demand = 0.02;
   // Maximum number of models considered and of moves issued in one round.
   std::size_t max_hot_models = 6;
   std::size_t max_moves_per_round = 3;
@@ -42,7 +54,7 @@
   duration adapter_idle_timeout = std::chrono::seconds(3);
   // Token bucket for loads from the weight store: the fraction of the store's
   // rate that is used, and the burst in loads.
-  double store_rate_fraction = 0.85;
+  double store_rate_fraction = 0.95;
   double store_burst = 3;
 };
 
@@ -101,14 +113,23 @@
   auto FindEvictable(const planner_round& plan, std::size_t server) const
       -> std::optional<std::size_t>;
   auto PlanMoves(planner_round& plan, mono_time now) -> void;
-  auto ListHotModels(const planner_round& plan) const
+  // Returns the models for which a further replica may be worth most.
+  auto ListHotModels(const planner_round& plan,
+                     const load_distribution& loads) const
       -> std::vector<std::size_t>;
-  auto FindBestMove(const planner_round& plan) const
+  auto FindBestMove(const planner_round& plan,
+                    const load_distribution& loads) const
       -> std::optional<candidate_move>;
-  // Returns the reduction of the sum of the squared loads by a move, less the
-  // cost of the move.
-  auto GetGain(const planner_round& plan, const candidate_move& move) const
-      -> double;
+  // Returns the work that a move saves while the demand is likely to last, in
+  // seconds of a server's work.
+  auto GetValue(const planner_round& plan,
+                const load_distribution& loads,
+                const candidate_move& move) const -> double;
+  // Loads further replicas into memory that nothing else needs, so that demand
+  // which moves finds them, and so that replicas elsewhere become evictable.
+  auto FillFreeMemory(planner_round& plan,
+                      const load_distribution& loads,
+                      mono_time now) -> void;
   // Issues the first order of a move: the unload of its victim if there is one,
   // otherwise the load.
   auto IssueMove(planner_round& plan, const candidate_move& move, mono_time now)
--- a/control/planner_round.h
+++ b/control/planner_round.h
@@ -113,6 +113,10 @@
   auto get_holders(std::size_t model) const -> const std::vector<std::size_t>& {
     return holders_[model];
   }
+  auto get_all_holders() const -> const std::vector<std::vector<std::size_t>>& {
+    return holders_;
+  }
+  auto get_demands() const -> const std::vector<double>& { return demand_; }
   // Number of replicas that serve now, without those being loaded.
   auto get_serving(std::size_t model) const -> std::size_t {
     return serving_[model];
--- a/core/backend_registry.cc
+++ b/core/backend_registry.cc
@@ -99,6 +99,13 @@
   return true;
 }
 
+auto backend_registry::MergeSuspicion(const backend_record& record) -> bool {
+  const auto& known = records_.at(record.status.id);
+  return record.is_suspected &&
+         known.status.start_time_ms == record.status.start_time_ms &&
+         Suspect(record.status.id, record.last_seen);
+}
+
 auto backend_registry::Merge(const backend_record& record, mono_time now)
     -> bool {
   if (record.has_left) {
@@ -116,7 +123,7 @@
       (found->second.status != record.status ||
        found->second.is_suspected != record.is_suspected);
   if (!is_newer && !is_update_of_same_start) {
-    return false;
+    return MergeSuspicion(record);
   }
   auto& merged = records_[record.status.id];
   merged = record;
--- a/core/backend_registry.h
+++ b/core/backend_registry.h
@@ -30,7 +30,7 @@
 
 struct backend_registry_options {
   // Time without an announcement after which a server is suspected.
-  duration suspect_after = std::chrono::milliseconds(4000);
+  duration suspect_after = std::chrono::milliseconds(2700);
   // Time without an announcement after which the record is removed.
   duration remove_after = std::chrono::seconds(30);
 };
@@ -44,6 +44,7 @@
   std::uint64_t revision_ = 0;
 
   auto MergeDeparture(const backend_record& record) -> bool;
+  auto MergeSuspicion(const backend_record& record) -> bool;
   auto IsNewer(const backend_record& current,
                const backend_status& status,
                mono_time now) const -> bool;
--- a/entry/server_selector.cc
+++ b/entry/server_selector.cc
@@ -167,6 +167,9 @@
         (query.avoid != nullptr && query.avoid->contains(id))) {
       continue;
     }
+    if (IsUnreachable(status, now)) {
+      continue;
+    }
     (record.is_suspected ? suspected : candidates).push_back(&record);
   }
   if (candidates.empty()) {
@@ -211,8 +214,37 @@
   state.own.tokens = std::max(0.0, state.own.tokens - tokens);
 }
 
+auto server_selector::IsUnreachable(const backend_status& status,
+                                    mono_time now) -> bool {
+  const auto& state = states_[status.id];
+  return state.unreachable_until > now &&
+         state.unreachable_start_time_ms == status.start_time_ms;
+}
+
+auto server_selector::OnUnreachable(const backend_name& id, mono_time now)
+    -> void {
+  const auto* record = registry_.Find(id);
+  auto& state = states_[id];
+  ++state.connect_failures;
+  if (record == nullptr ||
+      state.connect_failures < options_.connect_failures_to_exclude) {
+    return;
+  }
+  state.unreachable_start_time_ms = record->status.start_time_ms;
+  state.next_retry = std::clamp(state.next_retry * 2, options_.retry_min,
+                                options_.retry_max);
+  state.unreachable_until = now + state.next_retry;
+  newly_unreachable_.push_back(id);
+}
+
+auto server_selector::TakeUnreachable() -> std::vector<backend_name> {
+  return std::exchange(newly_unreachable_, {});
+}
+
 auto server_selector::OnAnswered(const backend_name& id) -> void {
   auto& state = states_[id];
+  state.connect_failures = 0;
+  state.next_retry = duration(0);
   state.failures = 0;
   state.next_ejection = duration(0);
 }
--- a/entry/server_selector.h
+++ b/entry/server_selector.h
@@ -31,6 +31,11 @@
   // tokens delays the events of the streams that the engine is producing.
   double max_prefill_tokens = 3500;
   int failures_to_eject = 3;  // consecutive failures
+  // Consecutive connection failures after which a server is unreachable, and
+  // bounds of the time until it is tried again.
+  int connect_failures_to_exclude = 2;
+  duration retry_min = std::chrono::milliseconds(500);
+  duration retry_max = std::chrono::milliseconds(2000);
   // Bounds of the ejection time, which doubles with each ejection in a row.
   duration eject_min = std::chrono::milliseconds(500);
   duration eject_max = std::chrono::seconds(8);
@@ -87,6 +92,10 @@
     // Start time of the run at whose address another server answered.
     std::uint64_t misdirected_start_time_ms = 0;
     bool is_misdirected = false;
+    int connect_failures = 0;  // consecutive
+    std::uint64_t unreachable_start_time_ms = 0;
+    mono_time unreachable_until;
+    duration next_retry{0};
   };
 
   server_selector_options options_;
@@ -94,6 +103,7 @@
   const backend_registry& registry_;
   std::map<backend_name, server_state> states_;
   mono_time last_exchange_;
+  std::vector<backend_name> newly_unreachable_;
   std::size_t gateway_count_ = 1;
 
   auto HoldsModel(const backend_status& status, const server_query& query) const
@@ -111,6 +121,7 @@
   auto ChooseByCapacity(const std::vector<const backend_record*>& candidates,
                         const server_query& query,
                         mono_time now) -> const backend_status*;
+  auto IsUnreachable(const backend_status& status, mono_time now) -> bool;
   auto RemoveEjected(std::vector<const backend_record*>& candidates,
                      mono_time now) -> void;
 
@@ -134,6 +145,11 @@
   auto OnAnswered(const backend_name& id) -> void;
   // Returns true when the failure ejects the server.
   auto OnFailed(const backend_name& id, mono_time now) -> bool;
+  // Records that no connection to the server could be made. Excludes it for a
+  // time that doubles with each failure in a row.
+  auto OnUnreachable(const backend_name& id, mono_time now) -> void;
+  // Returns the servers that became unreachable since the last call.
+  auto TakeUnreachable() -> std::vector<backend_name>;
   // Excludes a server until it restarts, because another server answered at its
   // address.
   auto OnMisdirected(const backend_name& id) -> void;
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -129,6 +129,13 @@
     load_totals_.Report(vm_name(request.vm()), std::move(report),
                         loop_.get_now());
   }
+  if (request.roster_source() == registry_epoch_) {
+    for (const auto number : request.unreachable()) {
+      if (const auto* id = backend_index_.FindName(number)) {
+        order_executor_.VerifyReachable(*id);
+      }
+    }
+  }
   for (const auto& row : request.demands()) {
     order_executor_.RecordDemand(row);
   }
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -111,6 +111,11 @@
             static_cast<std::uint32_t>(load.requests),
             static_cast<std::uint64_t>(load.tokens));
   }
+  for (const auto& id : selector_.TakeUnreachable()) {
+    if (const auto number = registry_.get_index().GetNumber(id); number != 0) {
+      request.add_unreachable(number);
+    }
+  }
   for (const auto& [key, count] : demand_) {
     auto* row = request.add_demands();
     row->set_service(std::get<service_name>(key).get());
--- a/main/order_executor.cc
+++ b/main/order_executor.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+// Time limit of a connection attempt that checks whether a server is reachable.
+constexpr duration kReachabilityTimeout = std::chrono::milliseconds(500);
 constexpr duration kOrderTimeout = std::chrono::milliseconds(800);
 constexpr duration kReportTimeout = std::chrono::milliseconds(800);
 // Time without calls to a backend server after one that it did not answer.
@@ -161,6 +163,43 @@
   });
 }
 
+auto order_executor::VerifyReachable(const backend_name& id) -> void {
+  const auto* record = registry_.Find(id);
+  if (record == nullptr || record->has_left || record->is_suspected) {
+    return;
+  }
+  auto& state = GetServerState(record->status);
+  if (state.check != nullptr) {
+    return;
+  }
+  auto hooks = call_hooks();
+  hooks.on_head = [](const http_head&) { return true; };
+  hooks.on_complete = [this, id] { server_states_[id].check = nullptr; };
+  hooks.on_failed = [this, id](call_failure failure) {
+    server_states_[id].check = nullptr;
+    if (failure == call_failure::not_sent) {
+      OnUnreachable(id);
+    }
+  };
+  auto options = call_options();
+  options.connect_timeout = kReachabilityTimeout;
+  options.max_idle_time = duration(0);
+  metrics_.Count("ebony_report_calls_total");
+  state.check =
+      pool_.Start(record->status.address,
+                  platform::RenderReportCall(record->status), false, options,
+                  std::move(hooks));
+}
+
+auto order_executor::OnUnreachable(const backend_name& id) -> void {
+  if (!is_leading_ || !registry_.Suspect(id, loop_.get_now())) {
+    return;
+  }
+  metrics_.Count("ebony_backends_unreachable_total");
+  log_.Write(event_category::state, "backend_suspected",
+             {{"backend", id.get()}, {"reason", "unreachable"}});
+}
+
 auto order_executor::SendOrder(const backend_status& status,
                                const model_order& order) -> void {
   auto& state = GetServerState(status);
@@ -321,8 +360,9 @@
     auto adjusted_statuses = std::list<backend_status>();
     for (const auto& [id, record] : registry_.get_records()) {
       const auto& status = record.status;
+      const auto is_confirmed = record.last_seen > leader_since_;
       if (status.service != name || record.has_left || record.is_suspected ||
-          status.is_leaving) {
+          status.is_leaving || !is_confirmed) {
         continue;
       }
       auto& state = GetServerState(status);
--- a/main/order_executor.h
+++ b/main/order_executor.h
@@ -35,6 +35,7 @@
     timer_id timeout;
     bool is_busy = false;  // a call is in flight or an adapter is loading
     mono_time not_before;  // no calls before this time
+    std::unique_ptr<pooled_call> check;  // of its reachability
   };
 
   const site_settings& settings_;
@@ -69,6 +70,7 @@
   // Writes these models to the registry, which gateways replicate.
   auto PublishKnownModels(const backend_name& id) -> void;
   auto InvalidateReport(const backend_name& id, duration backoff) -> void;
+  auto OnUnreachable(const backend_name& id) -> void;
   auto EndCall(const backend_name& id) -> void;
 
  public:
@@ -89,6 +91,9 @@
   auto ApplyKnownModels(backend_status& status) const -> void;
   // Adds a gateway's report of arrived and refused requests to the demand.
   auto RecordDemand(const schema::demand_row& row) -> void;
+  // Calls a server that a gateway could not connect to, and suspects it if it
+  // cannot be reached from here either.
+  auto VerifyReachable(const backend_name& id) -> void;
   // Records the number of requests in flight at a backend server.
   auto RecordLoad(const backend_name& id, double requests) -> void;
   // Plans orders and sends them to the servers that can take one. Sends none
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -450,6 +450,7 @@
   if (outcome == attempt_outcome::not_sent) {
     --attempts_;
     ++connect_failures_;
+    context_.selector.OnUnreachable(server_, now);
   }
   auto summary = attempt_summary();
   summary.outcome = outcome;
--- a/main/sync_relay.cc
+++ b/main/sync_relay.cc
@@ -69,6 +69,11 @@
   row.set_ready(request.ready());
   RecordLoads(request, now);
   RecordDemands(request);
+  for (const auto number : request.unreachable()) {
+    if (const auto* id = registry_.get_index().FindName(number)) {
+      unreachable_.insert(*id);
+    }
+  }
 }
 
 auto sync_relay::FillGatewayAnswer(const schema::sync_request& request,
@@ -126,6 +131,9 @@
     *request.add_demands() = std::move(row);
   }
   demands_.clear();
+  for (const auto& id : std::exchange(unreachable_, {})) {
+    request.add_unreachable(index.GetNumber(id));
+  }
   has_unserved_demand_ = false;
 }
 
--- a/main/sync_relay.h
+++ b/main/sync_relay.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 
@@ -33,6 +34,8 @@
   load_report reported_loads_;
   // Loads of all other gateways, from the leader's last answer.
   load_report other_loads_;
+  // Servers that gateways could not connect to, since the latest sync.
+  std::set<backend_name> unreachable_;
   std::uint32_t gateway_count_ = 0;
   mono_time last_answer_;
   bool has_answer_ = false;
