Service times and prompt rates are learnt; free memory goes to asked models only

Change: control/service_estimate learns how long a request holds a slot, by model, from attempts that found free slots, and the prompt rate from the first events of streams that found an idle server (slope of a line, so fixed delays don't count). Free memory is filled with models that are asked for. Horizon 18 s.

--- a/codec/site_codec.cc
+++ b/codec/site_codec.cc
@@ -14,6 +14,26 @@
 
 }  // namespace
 
+auto ToSchema(const first_event_sums& sums) -> schema::first_event_row {
+  auto row = schema::first_event_row();
+  row.set_count(sums.count);
+  row.set_tokens(sums.tokens);
+  row.set_seconds(sums.seconds);
+  row.set_tokens_squared(sums.tokens_squared);
+  row.set_tokens_by_seconds(sums.tokens_by_seconds);
+  return row;
+}
+
+auto ToDomain(const schema::first_event_row& row) -> first_event_sums {
+  auto sums = first_event_sums();
+  sums.count = row.count();
+  sums.tokens = row.tokens();
+  sums.seconds = row.seconds();
+  sums.tokens_squared = row.tokens_squared();
+  sums.tokens_by_seconds = row.tokens_by_seconds();
+  return sums;
+}
+
 auto ToSchema(const backend_record& record, mono_time now)
     -> schema::backend_status_row {
   const auto& status = record.status;
--- a/codec/site_codec.h
+++ b/codec/site_codec.h
@@ -4,12 +4,16 @@
 #include <cstdint>
 #include <functional>
 
+#include "core/service_samples.h"
 #include "core/backend_index.h"
 #include "core/backend_registry.h"
 #include "schema/site.pb.h"
 
 namespace ebony {
 
+auto ToSchema(const first_event_sums& sums) -> schema::first_event_row;
+auto ToDomain(const schema::first_event_row& row) -> first_event_sums;
+
 // `now` converts the time of the last announcement to an age in the row and
 // back.
 auto ToSchema(const backend_record& record, mono_time now)
--- a/control/model_planner.cc
+++ b/control/model_planner.cc
@@ -38,9 +38,10 @@
 
 auto model_planner::AddDemand(const demand_report& report, mono_time now)
     -> void {
-  demand_[report.model].arrived +=
-      report.requests * options_.request_seconds +
-      report.prompt_tokens / options_.prefill_tokens_per_second;
+  auto& rate = demand_[report.model];
+  rate.requests += report.requests;
+  rate.prompt_tokens += report.prompt_tokens;
+  service_.AddEnded(report.model, report.ended, report.busy_seconds);
   if (report.adapter.get().empty()) {
     return;
   }
@@ -55,15 +56,20 @@
   if (elapsed <= 0) {
     return;
   }
+  service_.Age(now - demand_updated_);
   demand_updated_ = now;
   const auto decay = std::exp(-elapsed / ToSeconds(options_.demand_window));
   const auto peak_decay =
       std::exp2(-elapsed / ToSeconds(options_.peak_load_half_life));
+  const auto prompt_rate = service_.GetPromptTokensPerSecond();
   for (auto& [name, rate] : demand_) {
-    const auto arrival_rate = rate.arrived / elapsed;
-    rate.load = decay * rate.load + (1 - decay) * arrival_rate;
+    const auto server_seconds = rate.requests * service_.GetSlotSeconds(name) /
+                                    std::max(1U, engine.batch_slots) +
+                                rate.prompt_tokens / prompt_rate;
+    rate.load = decay * rate.load + (1 - decay) * server_seconds / elapsed / options_.target_utilization;
     rate.peak_load = std::max(peak_decay * rate.peak_load, rate.load);
-    rate.arrived = 0;
+    rate.requests = 0;
+    rate.prompt_tokens = 0;
   }
   store_tokens_ = std::min(options_.store_burst,
                            store_tokens_ + elapsed * engine.loads_per_second *
@@ -275,17 +281,18 @@
     auto best_score = 0.0;
     for (auto model = std::size_t{0}; model < plan.get_engine().models.size();
          ++model) {
-      const auto has_tokens = plan.IsCached(i, model) ||
-                              store_tokens_ >= 1 + options_.reserved_store_tokens;
+      const auto has_tokens =
+          plan.IsCached(i, model) ||
+          store_tokens_ >= 1 + options_.reserved_store_tokens;
       const auto holders = plan.get_holders(model).size();
-      if (!has_tokens || holders == 0 || plan.Holds(i, model) ||
+      if (plan.get_demand(model) < options_.min_demand || !has_tokens ||
+          holders == 0 || plan.Holds(i, model) ||
           !plan.HasCapacity(i, plan.get_model(model).weights_mb)) {
         continue;
       }
-      const auto score = (loads.GetPressure(model) * plan.get_demand(model) +
-                          options_.min_demand) /
+      const auto score = loads.GetPressure(model) * plan.get_demand(model) /
                          static_cast<double>(holders * holders);
-      if (!best || score > best_score) {
+      if (score > best_score) {
         best = model;
         best_score = score;
       }
--- a/control/model_planner.h
+++ b/control/model_planner.h
@@ -8,6 +8,7 @@
 
 #include "control/load_distribution.h"
 #include "control/planner_round.h"
+#include "control/service_estimate.h"
 #include "core/site_config.h"
 
 namespace ebony {
@@ -19,6 +20,8 @@
   double requests = 0;
   double prompt_tokens = 0;
   bool is_unserved = false;  // a request found no server that has it loaded
+  double ended = 0;          // requests that a server ended
+  double busy_seconds = 0;   // sum of the times for which they ran
 };
 
 struct model_planner_options {
@@ -30,14 +33,12 @@
   duration peak_load_half_life = std::chrono::seconds(20);
   // Interval between two plans of models. Adapters are planned at each call.
   duration model_interval = std::chrono::milliseconds(200);
-  // Server time of a request: the prefill of its prompt, and a fixed part in
-  // seconds for the rest.
-  double prefill_tokens_per_second = 35000;
-  double request_seconds = 0.06;
+  // Share of its slots and of its prompt rate to which a server is to be used.
+  double target_utilization = 0.7;
   // Minimum work, in seconds of a server's work, that a move has to save.
   double min_value = 0.4;
   // Demand for a model is assumed to last this long.
-  duration demand_horizon = std::chrono::seconds(12);
+  duration demand_horizon = std::chrono::seconds(18);
   // Time in which an unload ends: of a model that is hardly used, and of one
   // whose streams have to end first.
   double idle_unload_seconds = 0.5;
@@ -69,7 +70,9 @@
   struct demand_rate {
     double load = 0;       // seconds of server time per second
     double peak_load = 0;  // largest load, decaying exponentially
-    double arrived = 0;    // seconds of server time since the last update
+    // Since the last update.
+    double requests = 0;
+    double prompt_tokens = 0;
   };
   struct adapter_demand {
     mono_time last_requested;
@@ -91,6 +94,7 @@
   };
 
   model_planner_options options_;
+  service_estimate service_;
   std::map<model_name, demand_rate> demand_;
   std::map<adapter_ref, adapter_demand> adapters_;
   std::map<backend_name, pending_load> pending_loads_;
@@ -144,6 +148,10 @@
  public:
   explicit model_planner(model_planner_options options);
 
+  // Adds what gateways observed of streams that found an idle server.
+  auto AddFirstEvents(const first_event_sums& sums) -> void {
+    service_.AddFirstEvents(sums);
+  }
   // Adds requests that arrived since the previous report.
   auto AddDemand(const demand_report& report, mono_time now) -> void;
   // Discards all demand and pending loads and empties the token bucket.
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -136,6 +136,7 @@
       }
     }
   }
+  order_executor_.RecordFirstEvents(ToDomain(request.first_events()));
   for (const auto& row : request.demands()) {
     order_executor_.RecordDemand(row);
   }
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -82,6 +82,7 @@
       retries_,
       pending_,
       demand_,
+      first_events_,
       [this](std::uint64_t bound) { return random_() % bound; },
       [this] { link_.SyncSoon(); },
       [this] { ScheduleDispatch(); },
@@ -124,7 +125,11 @@
     row->set_arrived(count.arrived);
     row->set_refused(count.unserved);
     row->set_prompt_tokens(count.prompt_tokens);
+    row->set_ended(count.ended);
+    row->set_busy_ms(count.busy_ms);
   }
+  *request.mutable_first_events() =
+      ToSchema(std::exchange(first_events_, first_event_sums()));
   demand_.clear();
   return request;
 }
--- a/main/gateway_daemon.h
+++ b/main/gateway_daemon.h
@@ -38,6 +38,7 @@
   retry_allowance retries_;
   pending_queue<proxy_session> pending_;
   std::map<demand_key, demand_count> demand_;
+  first_event_sums first_events_;  // since the latest sync
   route_table_pointer route_table_;
   incarnation incarnation_;
   proxy_context context_;
--- a/main/order_executor.cc
+++ b/main/order_executor.cc
@@ -94,6 +94,10 @@
   demand.requests = row.arrived();
   demand.prompt_tokens = static_cast<double>(row.prompt_tokens());
   demand.is_unserved = row.refused() > 0;
+  demand.ended = row.ended();
+  constexpr double kMillisecondsPerSecond = 1000;
+  demand.busy_seconds =
+      static_cast<double>(row.busy_ms()) / kMillisecondsPerSecond;
   planner_.AddDemand(demand, loop_.get_now());
 }
 
--- a/main/order_executor.h
+++ b/main/order_executor.h
@@ -89,6 +89,9 @@
   auto StopLeading() -> void;
   // Replaces the models in an announcement by those known from later orders.
   auto ApplyKnownModels(backend_status& status) const -> void;
+  auto RecordFirstEvents(const first_event_sums& sums) -> void {
+    planner_.AddFirstEvents(sums);
+  }
   // Adds a gateway's report of arrived and refused requests to the demand.
   auto RecordDemand(const schema::demand_row& row) -> void;
   // Calls a server that a gateway could not connect to, and suspects it if it
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -43,6 +43,10 @@
 constexpr int kStallGaps = 8;
 // Connection failures after which another server may still be tried.
 constexpr int kMaxConnectFailures = 3;
+// Requests in flight at a server that counts as idle.
+constexpr double kMaxRequestsOfIdleServer = 2;
+// Share of its slots below which a server runs a request without delay.
+constexpr double kMaxUncongestedLoad = 0.5;
 constexpr int kOk = 200;
 constexpr int kFirstNonSuccess = 300;  // lowest status that is not a success
 
@@ -281,6 +285,9 @@
   response_body_.clear();
   event_reader_.Reset();
   prefill_tokens_ = static_cast<double>(metadata_.prompt_tokens);
+  const auto requests = context_.selector.GetLoad(server_, now).requests;
+  found_idle_server_ = requests <= kMaxRequestsOfIdleServer;
+  found_free_slots_ = requests <= kMaxUncongestedLoad * server.slots;
   context_.selector.OnStarted(server_, prefill_tokens_);
 
   auto forward = platform::forward_options();
@@ -358,6 +365,13 @@
   }
   if (prefill_tokens_ > 0) {
     context_.selector.OnPrefilled(server_, prefill_tokens_);
+    if (found_idle_server_) {
+      constexpr double kTokensPerUnit = 1000;
+      context_.first_events.Add(
+          prefill_tokens_ / kTokensPerUnit,
+          std::chrono::duration<double>(context_.loop.get_now() - sent_at_)
+              .count());
+    }
     prefill_tokens_ = 0;
   }
   ForwardEvents(bytes);
@@ -419,6 +433,19 @@
   OnAttemptEnd(attempt_outcome::complete);
 }
 
+auto proxy_session::RecordServiceTime() -> void {
+  if (!IsEngine() || !found_free_slots_ || response_head_.status == 0 ||
+      server_answer_.not_run) {
+    return;
+  }
+  const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+      context_.loop.get_now() - sent_at_);
+  auto& count =
+      context_.demand[{service_.name, metadata_.model, metadata_.adapter}];
+  ++count.ended;
+  count.busy_ms += static_cast<std::uint64_t>(took.count());
+}
+
 auto proxy_session::ReleaseServer() -> void {
   context_.loop.CancelTimer(stall_timer_);
   if (attempt_ == nullptr) {
@@ -426,6 +453,7 @@
   }
   attempt_ = nullptr;
   context_.selector.OnEnded(server_, prefill_tokens_);
+  RecordServiceTime();
   prefill_tokens_ = 0;
 }
 
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -11,6 +11,7 @@
 #include "core/error_kind.h"
 #include "core/metrics.h"
 #include "core/request_metadata.h"
+#include "core/service_samples.h"
 #include "drivers/event_log.h"
 #include "drivers/event_loop.h"
 #include "drivers/http_listener.h"
@@ -31,6 +32,8 @@
   std::uint32_t arrived = 0;
   std::uint32_t unserved = 0;  // no server held the model or adapter
   std::uint64_t prompt_tokens = 0;
+  std::uint32_t ended = 0;    // attempts
+  std::uint64_t busy_ms = 0;  // sum of the times for which they ran
 };
 using demand_key = std::tuple<service_name, model_name, adapter_name>;
 
@@ -44,6 +47,7 @@
   retry_allowance& retries;
   pending_queue<proxy_session>& pending;
   std::map<demand_key, demand_count>& demand;
+  first_event_sums& first_events;
   // Returns a random number in [0, bound).
   std::function<std::uint64_t(std::uint64_t)> random;
   // Called when no server holds a requested model or adapter, so that the
@@ -88,6 +92,9 @@
   mono_time sent_at_;
   // Prompt tokens that count towards the server's load until its first event.
   double prefill_tokens_ = 0;
+  // At the latest attempt.
+  bool found_idle_server_ = false;
+  bool found_free_slots_ = false;
   http_head response_head_;
   server_answer server_answer_;
   bool is_streaming_ = false;  // the body is forwarded as it arrives
@@ -133,6 +140,7 @@
   auto MayRetry(attempt_outcome outcome) -> bool;
   auto OnAttemptEnd(attempt_outcome outcome) -> void;
   auto ReleaseServer() -> void;
+  auto RecordServiceTime() -> void;
   auto ArmStallTimer() -> void;
   auto GetStallTimeout() const -> duration;
   auto OnStalled() -> void;
--- a/main/sync_relay.cc
+++ b/main/sync_relay.cc
@@ -54,6 +54,8 @@
     sum.set_arrived(sum.arrived() + row.arrived());
     sum.set_refused(sum.refused() + row.refused());
     sum.set_prompt_tokens(sum.prompt_tokens() + row.prompt_tokens());
+    sum.set_ended(sum.ended() + row.ended());
+    sum.set_busy_ms(sum.busy_ms() + row.busy_ms());
   }
 }
 
@@ -69,6 +71,7 @@
   row.set_ready(request.ready());
   RecordLoads(request, now);
   RecordDemands(request);
+  first_events_.Add(ToDomain(request.first_events()));
   for (const auto number : request.unreachable()) {
     if (const auto* id = registry_.get_index().FindName(number)) {
       unreachable_.insert(*id);
@@ -131,6 +134,8 @@
     *request.add_demands() = std::move(row);
   }
   demands_.clear();
+  *request.mutable_first_events() =
+      ToSchema(std::exchange(first_events_, first_event_sums()));
   for (const auto& id : std::exchange(unreachable_, {})) {
     request.add_unreachable(index.GetNumber(id));
   }
--- a/main/sync_relay.h
+++ b/main/sync_relay.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <tuple>
 
+#include "core/service_samples.h"
 #include "control/load_totals.h"
 #include "core/ids.h"
 #include "main/registry_replica.h"
@@ -36,6 +37,7 @@
   load_report other_loads_;
   // Servers that gateways could not connect to, since the latest sync.
   std::set<backend_name> unreachable_;
+  first_event_sums first_events_;  // since the latest sync
   std::uint32_t gateway_count_ = 0;
   mono_time last_answer_;
   bool has_answer_ = false;
