A server's statement that it has not run a request uses up no attempt

The rule counts servers on which a request has run.

Change: such answers have a bound of their own, three.

--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -43,6 +43,8 @@
 constexpr int kStallGaps = 8;
 // Connection failures after which another server may still be tried.
 constexpr int kMaxConnectFailures = 3;
+// The same for servers that did not run the request.
+constexpr int kMaxNotRunAnswers = 3;
 // Requests in flight at a server that counts as idle.
 constexpr double kMaxRequestsOfIdleServer = 2;
 // Share of its slots below which a server runs a request without delay.
@@ -465,6 +467,10 @@
   if (outcome == attempt_outcome::not_sent) {
     return connect_failures_ <= kMaxConnectFailures;
   }
+  if (outcome == attempt_outcome::not_run &&
+      not_run_answers_ > kMaxNotRunAnswers) {
+    return false;
+  }
   return context_.retries.TryConsume(service_.name, context_.loop.get_now());
 }
 
@@ -479,6 +485,9 @@
     --attempts_;
     ++connect_failures_;
     context_.selector.OnUnreachable(server_, now);
+  } else if (outcome == attempt_outcome::not_run) {
+    --attempts_;
+    ++not_run_answers_;
   }
   auto summary = attempt_summary();
   summary.outcome = outcome;
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -84,6 +84,7 @@
   // Attempts.
   int attempts_ = 0;          // servers that received at least one byte
   int connect_failures_ = 0;  // servers that could not be connected to
+  int not_run_answers_ = 0;   // servers that stated that they did not run it
   std::set<backend_name> tried_servers_;
   bool may_have_run_ = false;
   std::unique_ptr<pooled_call> attempt_;  // in flight, or null
