--- a/entry/server_selector.h
+++ b/entry/server_selector.h
@@ -26,7 +26,7 @@
   // Limit of the requests in flight per batch slot of an engine. The engine
   // queues the excess, so that a freed slot is refilled without waiting until
   // the gateways learn of it.
-  double engine_overcommit = 1.25;
+  double engine_overcommit = 1.05;
   // Limit of the unprocessed prompt tokens at one engine. Prefill of more
   // tokens delays the events of the streams that the engine is producing.
   double max_prefill_tokens = 3500;
