--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -81,6 +81,7 @@
       selector_,
       retries_,
       pending_,
+      waits_,
       demand_,
       first_events_,
       [this](std::uint64_t bound) { return random_() % bound; },
--- a/main/gateway_daemon.h
+++ b/main/gateway_daemon.h
@@ -37,6 +37,7 @@
   server_selector selector_;
   retry_allowance retries_;
   pending_queue<proxy_session> pending_;
+  wait_estimator waits_;
   std::map<demand_key, demand_count> demand_;
   first_event_sums first_events_;  // since the latest sync
   route_table_pointer route_table_;
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -178,6 +178,24 @@
                                             : duration(0);
 }
 
+auto proxy_session::GetLateQueueTimeout() const -> duration {
+  return std::min(GetTimeLeft(), GetCallerTimeout()) / kLateQueueDivisor;
+}
+
+auto proxy_session::GetQueueKey() const -> wait_estimator::queue_key {
+  return {service_.name, metadata_.model};
+}
+
+auto proxy_session::RejectIfHopeless(duration limit) -> bool {
+  const auto wait =
+      context_.waits.GetExpectedWait(GetQueueKey(), context_.loop.get_now());
+  if (!wait || *wait <= limit) {
+    return false;
+  }
+  Reject(error_kind::overloaded, *wait);
+  return true;
+}
+
 auto proxy_session::Enqueue(server_verdict reason) -> void {
   const auto is_first_attempt = tried_servers_.empty();
   if (reason == server_verdict::no_replica && IsEngine() && is_first_attempt) {
@@ -197,6 +215,10 @@
            is_absent ? GetModelLoadTime() : duration(0));
     return;
   }
+  if (!is_absent && !answer_->has_begun() &&
+      RejectIfHopeless(limit + GetLateQueueTimeout())) {
+    return;
+  }
   if (!TryEnqueue(rule_.priority, limit)) {
     Reject(error_kind::overloaded, duration(0));
     return;
@@ -236,8 +258,7 @@
 // Queues a request that will miss its objective behind all others, since a late
 // answer is better than none but must not delay requests that can be in time.
 auto proxy_session::EnqueueLate() -> void {
-  const auto limit =
-      std::min(GetTimeLeft(), GetCallerTimeout()) / kLateQueueDivisor;
+  const auto limit = GetLateQueueTimeout();
   if (!TryEnqueue(rule_.priority + kLatePriorityOffset, limit)) {
     Reject(error_kind::overloaded, duration(0));
     return;
@@ -250,6 +271,9 @@
   auto evicted = std::shared_ptr<proxy_session>();
   position_ = context_.pending.Add(rank, context_.loop.get_now() + limit,
                                    shared_from_this(), evicted);
+  if (position_) {
+    context_.waits.OnQueued(GetQueueKey());
+  }
   if (evicted != nullptr) {
     evicted->OnEvicted();
   }
@@ -260,6 +284,7 @@
   context_.loop.CancelTimer(queue_timer_);
   if (position_) {
     context_.pending.Remove(*position_);
+    context_.waits.OnLeftQueue(GetQueueKey());
     position_.reset();
   }
 }
@@ -272,6 +297,7 @@
 
 auto proxy_session::OnEvicted() -> void {
   position_.reset();  // already removed from the queue
+  context_.waits.OnLeftQueue(GetQueueKey());
   context_.loop.CancelTimer(queue_timer_);
   Reject(error_kind::overloaded, duration(0));
 }
@@ -291,6 +317,7 @@
   found_idle_server_ = requests <= kMaxRequestsOfIdleServer;
   found_free_slots_ = requests <= kMaxUncongestedLoad * server.slots;
   context_.selector.OnStarted(server_, prefill_tokens_);
+  context_.waits.OnSent(GetQueueKey(), now);
 
   auto forward = platform::forward_options();
   forward.backend = server.id;
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -22,6 +22,7 @@
 #include "entry/route_table.h"
 #include "entry/server_selector.h"
 #include "entry/sse_reader.h"
+#include "entry/wait_estimator.h"
 
 namespace ebony {
 
@@ -46,6 +47,7 @@
   server_selector& selector;
   retry_allowance& retries;
   pending_queue<proxy_session>& pending;
+  wait_estimator& waits;
   std::map<demand_key, demand_count>& demand;
   first_event_sums& first_events;
   // Returns a random number in [0, bound).
@@ -126,6 +128,11 @@
   auto GetCallerTimeout() const -> duration;
   auto GetModelLoadTime() const -> duration;
   auto GetQueueTimeout(server_verdict reason) const -> duration;
+  auto GetLateQueueTimeout() const -> duration;
+  auto GetQueueKey() const -> wait_estimator::queue_key;
+  // Returns true if the request was rejected because it could not be sent
+  // before the end of all waits.
+  auto RejectIfHopeless(duration limit) -> bool;
   auto OnQueueTimeout() -> void;
   auto EnqueueLate() -> void;
   // Adds the request to the queue. Returns false if the queue is full.
