Overloaded callers return when a further replica may be there

Cause: a caller comes back once; told 0.6 s, it finds the same queue. A further replica is 3 to 6 s away.

--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -155,6 +155,12 @@
   return duration(0);
 }
 
+// Returns the time until there may be room for a model whose replicas are all at
+// their limit: on average, a further one has half of its load time left.
+auto proxy_session::GetOverloadWait() const -> duration {
+  return GetModelLoadTime() / 2;
+}
+
 auto proxy_session::GetQueueTimeout(server_verdict reason) const -> duration {
   if (answer_->has_begun()) {
     return kResumeQueueTimeout;
@@ -192,7 +198,7 @@
   if (!wait || *wait <= limit) {
     return false;
   }
-  Reject(error_kind::overloaded, *wait);
+  Reject(error_kind::overloaded, std::max(*wait, GetOverloadWait()));
   return true;
 }
 
@@ -212,7 +218,7 @@
   const auto is_absent = reason != server_verdict::busy;
   if (limit <= duration(0)) {
     Reject(is_absent ? error_kind::no_backend : error_kind::overloaded,
-           is_absent ? GetModelLoadTime() : duration(0));
+           is_absent ? GetModelLoadTime() : GetOverloadWait());
     return;
   }
   if (!is_absent && !answer_->has_begun() &&
@@ -220,7 +226,7 @@
     return;
   }
   if (!TryEnqueue(rule_.priority, limit)) {
-    Reject(error_kind::overloaded, duration(0));
+    Reject(error_kind::overloaded, GetOverloadWait());
     return;
   }
   context_.log.Write(
@@ -252,7 +258,7 @@
   }
   Reject(queue_reason_ == server_verdict::busy ? error_kind::overloaded
                                                : error_kind::no_backend,
-         duration(0));
+         GetOverloadWait());
 }
 
 // Queues a request that will miss its objective behind all others, since a late
@@ -260,7 +266,7 @@
 auto proxy_session::EnqueueLate() -> void {
   const auto limit = GetLateQueueTimeout();
   if (!TryEnqueue(rule_.priority + kLatePriorityOffset, limit)) {
-    Reject(error_kind::overloaded, duration(0));
+    Reject(error_kind::overloaded, GetOverloadWait());
     return;
   }
   queue_timer_ = context_.loop.AddTimerIn(
@@ -299,7 +305,7 @@
   position_.reset();  // already removed from the queue
   context_.waits.OnLeftQueue(GetQueueKey());
   context_.loop.CancelTimer(queue_timer_);
-  Reject(error_kind::overloaded, duration(0));
+  Reject(error_kind::overloaded, GetOverloadWait());
 }
 
 auto proxy_session::Dispatch(const backend_status& server) -> void {
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -128,6 +128,7 @@
   auto GetCallerTimeout() const -> duration;
   auto GetModelLoadTime() const -> duration;
   auto GetQueueTimeout(server_verdict reason) const -> duration;
+  auto GetOverloadWait() const -> duration;
   auto GetLateQueueTimeout() const -> duration;
   auto GetQueueKey() const -> wait_estimator::queue_key;
   // Returns true if the request was rejected because it could not be sent
