--- a/codec/site_codec.h
+++ b/codec/site_codec.h
@@ -4,9 +4,9 @@
 #include <cstdint>
 #include <functional>
 
-#include "core/service_samples.h"
 #include "core/backend_index.h"
 #include "core/backend_registry.h"
+#include "core/service_samples.h"
 #include "schema/site.pb.h"
 
 namespace ebony {
--- a/control/load_distribution.h
+++ b/control/load_distribution.h
@@ -7,10 +7,10 @@
 
 namespace ebony {
 
-// Estimates how the demand for models loads the servers that hold them, and what
-// a further replica is worth. A load of 1 is what a server can do in the same
-// time. Each model's demand goes to the least loaded of its holders first, as
-// the gateways choose, so that a replica on a busy server is worth little.
+// Estimates how the demand for models loads the servers that hold them, and
+// what a further replica is worth. A load of 1 is what a server can do in the
+// same time. Each model's demand goes to the least loaded of its holders first,
+// as the gateways choose, so that a replica on a busy server is worth little.
 // Servers and models are identified by their indices.
 class load_distribution {
  public:
@@ -29,8 +29,8 @@
  private:
   std::vector<double> demand_;                     // by model
   std::vector<std::vector<std::size_t>> holders_;  // by model
-  std::vector<std::vector<double>> shares_;  // by model, as in `holders_`
-  std::vector<double> loads_;                // by server
+  std::vector<std::vector<double>> shares_;        // by model, as in `holders_`
+  std::vector<double> loads_;                      // by server
 
   // Adds the demand of `model` to `loads`, spread over `holders`. Writes the
   // share of each holder to `shares` unless it is null.
--- a/control/model_planner.cc
+++ b/control/model_planner.cc
@@ -66,7 +66,8 @@
     const auto server_seconds = rate.requests * service_.GetSlotSeconds(name) /
                                     std::max(1U, engine.batch_slots) +
                                 rate.prompt_tokens / prompt_rate;
-    rate.load = decay * rate.load + (1 - decay) * server_seconds / elapsed / options_.target_utilization;
+    rate.load = decay * rate.load + (1 - decay) * server_seconds / elapsed /
+                                        options_.target_utilization;
     rate.peak_load = std::max(peak_decay * rate.peak_load, rate.load);
     rate.requests = 0;
     rate.prompt_tokens = 0;
@@ -160,7 +161,7 @@
       continue;
     }
     auto move = candidate_move{i, model, std::nullopt, 0};
-    move.gain = -plan.get_state(i).load - ToSeconds(plan.GetLoadTime(i, model));
+    move.gain = -ToSeconds(plan.GetLoadTime(i, model));
     if (!plan.HasCapacity(i, plan.get_model(model).weights_mb)) {
       move.victim = FindEvictable(plan, i);
       if (!move.victim) {
--- a/control/model_planner.h
+++ b/control/model_planner.h
@@ -60,11 +60,10 @@
 };
 
 // Decides which server loads or unloads which model or adapter. Every model of
-// the catalogue keeps at least one replica. Further replicas go where they
-// lower the sum of the squared loads of all servers most, which balances the
-// load. Designed for demand that shifts between models every few seconds while
-// a load takes seconds itself; a move is issued only if its gain exceeds a
-// minimum.
+// the catalogue keeps at least one replica. Further replicas go where they save
+// most work that would be late or lost, counted from the time at which they
+// serve for as long as the demand is assumed to last. Designed for demand that
+// shifts between models every few seconds while a load takes seconds itself.
 class model_planner {
   using adapter_ref = std::pair<model_name, adapter_name>;
   struct demand_rate {
--- a/control/planner_round.cc
+++ b/control/planner_round.cc
@@ -124,19 +124,6 @@
   std::erase(holders_[model], server);
 }
 
-auto planner_round::UpdateLoads() -> void {
-  for (auto& state : states_) {
-    state.load = 0;
-  }
-  for (auto model = std::size_t{0}; model < holders_.size(); ++model) {
-    const auto& holders = holders_[model];
-    for (const auto holder : holders) {
-      states_[holder].load +=
-          demand_[model] / static_cast<double>(holders.size());
-    }
-  }
-}
-
 auto planner_round::AddOrder(std::size_t server, model_order order) -> void {
   order.backend = servers_[server].status->id;
   Reserve(server);
--- a/control/planner_round.h
+++ b/control/planner_round.h
@@ -28,10 +28,9 @@
   bool is_busy = false;  // has an order in flight, or its state is unknown
 };
 
-// Working state of one call of the planner: the models that each server holds
-// and the resulting load. Servers are identified by their index in the list
-// passed to the constructor, and models by their index in the catalogue, since
-// comparing names is slow.
+// Working state of one call of the planner: the models that each server holds.
+// Servers are identified by their index in the list passed to the constructor,
+// and models by their index in the catalogue, since comparing names is slow.
 class planner_round {
  public:
   struct server_state {
@@ -42,7 +41,6 @@
     std::vector<std::size_t> on_disk;
     double weights_mb = 0;  // of models and adapters
     int adapters = 0;
-    double load = 0;           // seconds of work per second
     bool is_reserved = false;  // takes no further orders in this round
   };
 
@@ -88,9 +86,6 @@
   auto RemoveHolder(std::size_t model, std::size_t server) -> void;
   // Discounts a serving replica that is being unloaded.
   auto RemoveServing(std::size_t model) -> void { --serving_[model]; }
-  // Recomputes the server loads: the demand of each model is divided equally
-  // among its holders.
-  auto UpdateLoads() -> void;
   // Excludes a server from further orders in this round.
   auto Reserve(std::size_t server) -> void {
     states_[server].is_reserved = true;
--- a/control/service_estimate.cc
+++ b/control/service_estimate.cc
@@ -49,8 +49,7 @@
   first_events_.Scale(std::exp2(-seconds / kRateHalfLifeSeconds));
 }
 
-auto service_estimate::GetSlotSeconds(const model_name& model) const
-    -> double {
+auto service_estimate::GetSlotSeconds(const model_name& model) const -> double {
   const auto average = (all_.seconds + kDefaultSlotSeconds) / (all_.ended + 1);
   const auto found = models_.find(model);
   const auto own = found == models_.end() ? slot_sums() : found->second;
--- a/entry/server_selector.cc
+++ b/entry/server_selector.cc
@@ -15,6 +15,17 @@
 constexpr double kLoadTolerance = 0.02;
 constexpr std::uint64_t kRandomSteps = 1U << 20U;
 
+constexpr duration kMinSlotTime = std::chrono::milliseconds(20);
+// Longest interval of exchanges that counts: after a longer one the loads of
+// the others have decayed.
+constexpr duration kMaxExchangeInterval = std::chrono::milliseconds(500);
+
+// Returns an exponentially smoothed value after a new sample.
+auto Smooth(duration value, duration sample) -> duration {
+  constexpr int kWeightOfOld = 15;
+  return (value * kWeightOfOld + sample) / (kWeightOfOld + 1);
+}
+
 }  // namespace
 
 auto GetServerVerdictText(server_verdict verdict) -> std::string_view {
@@ -67,13 +78,26 @@
   return load;
 }
 
+auto server_selector::GetEngineQueue(std::uint32_t slots) const -> double {
+  const auto view_age = exchange_interval_ + source_delay_;
+  const auto ended = slots * static_cast<double>(view_age.count()) /
+                     static_cast<double>(slot_time_.count());
+  return std::min(std::max(options_.min_engine_queue, ended),
+                  options_.max_engine_queue_fraction * slots);
+}
+
+auto server_selector::AddSlotTime(duration time) -> void {
+  slot_time_ = std::max(kMinSlotTime, Smooth(slot_time_, time));
+}
+
 // Returns the number of requests that may still be sent to a server.
 auto server_selector::GetFreeCapacity(const backend_status& status,
                                       const server_query& query,
                                       mono_time now) -> double {
-  const auto overcommit =
-      query.is_engine ? options_.engine_overcommit : options_.plain_overcommit;
-  return status.slots * overcommit - GetLoad(status.id, now).requests;
+  const auto limit = query.is_engine
+                         ? status.slots + GetEngineQueue(status.slots)
+                         : status.slots * options_.plain_overcommit;
+  return limit - GetLoad(status.id, now).requests;
 }
 
 auto server_selector::HasCapacity(const backend_status& status,
@@ -214,8 +238,8 @@
   state.own.tokens = std::max(0.0, state.own.tokens - tokens);
 }
 
-auto server_selector::IsUnreachable(const backend_status& status,
-                                    mono_time now) -> bool {
+auto server_selector::IsUnreachable(const backend_status& status, mono_time now)
+    -> bool {
   const auto& state = states_[status.id];
   return state.unreachable_until > now &&
          state.unreachable_start_time_ms == status.start_time_ms;
@@ -231,8 +255,8 @@
     return;
   }
   state.unreachable_start_time_ms = record->status.start_time_ms;
-  state.next_retry = std::clamp(state.next_retry * 2, options_.retry_min,
-                                options_.retry_max);
+  state.next_retry =
+      std::clamp(state.next_retry * 2, options_.retry_min, options_.retry_max);
   state.unreachable_until = now + state.next_retry;
   newly_unreachable_.push_back(id);
 }
@@ -291,6 +315,11 @@
 auto server_selector::SetTotalLoads(
     const std::map<backend_name, server_load>& loads,
     mono_time now) -> void {
+  if (last_exchange_ != mono_time()) {
+    exchange_interval_ =
+        Smooth(exchange_interval_,
+               std::min(now - last_exchange_, kMaxExchangeInterval));
+  }
   last_exchange_ = now;
   for (auto& [id, state] : states_) {
     state.others = server_load();
--- a/entry/server_selector.h
+++ b/entry/server_selector.h
@@ -23,10 +23,11 @@
   // Limit of the requests in flight per slot of a service that is not an
   // engine.
   double plain_overcommit = 2.0;
-  // Limit of the requests in flight per batch slot of an engine. The engine
-  // queues the excess, so that a freed slot is refilled without waiting until
-  // the gateways learn of it.
-  double engine_overcommit = 1.05;
+  // Bounds of the requests that an engine may have beyond its batch slots, so
+  // that a freed slot is refilled before the gateways learn of it: in requests,
+  // and as a fraction of its slots. Whatever an engine queues is late.
+  double min_engine_queue = 1;
+  double max_engine_queue_fraction = 0.25;
   // Limit of the unprocessed prompt tokens at one engine. Prefill of more
   // tokens delays the events of the streams that the engine is producing.
   double max_prefill_tokens = 3500;
@@ -103,6 +104,12 @@
   const backend_registry& registry_;
   std::map<backend_name, server_state> states_;
   mono_time last_exchange_;
+  // Smoothed: the interval of the exchanges, and the time for which a request
+  // holds a slot.
+  duration exchange_interval_ = std::chrono::milliseconds(50);
+  duration slot_time_ = std::chrono::seconds(1);
+  // Age of the loads of the other gateways at the time of an exchange.
+  duration source_delay_{0};
   std::vector<backend_name> newly_unreachable_;
   std::size_t gateway_count_ = 1;
 
@@ -114,6 +121,9 @@
   auto ChooseLeastLoaded(const std::vector<const backend_record*>& candidates,
                          bool is_engine,
                          mono_time now) -> const backend_status*;
+  // Returns the requests that end at an engine before this gateway learns of
+  // it.
+  auto GetEngineQueue(std::uint32_t slots) const -> double;
   auto GetFreeCapacity(const backend_status& status,
                        const server_query& query,
                        mono_time now) -> double;
@@ -161,6 +171,10 @@
   // report.
   auto SetTotalLoads(const std::map<backend_name, server_load>& loads,
                      mono_time now) -> void;
+  // Sets the delay of the loads that an exchange returns.
+  auto SetSourceDelay(duration delay) -> void { source_delay_ = delay; }
+  // Adds the time for which a request held a slot of an engine.
+  auto AddSlotTime(duration time) -> void;
   // Returns the estimated load of a server. The load of the other gateways
   // decays while no exchange takes place.
   auto GetLoad(const backend_name& id, mono_time now) -> server_load;
--- a/entry/wait_estimator.h
+++ b/entry/wait_estimator.h
@@ -12,8 +12,8 @@
 // Estimates how long a queued request waits for a server that holds its model:
 // the requests ahead of it, divided by the rate at which this gateway sent
 // requests for the model lately. Answers loads at which a few models get more
-// requests than their replicas can run: whoever cannot be served in time is told
-// so at once instead of after the wait.
+// requests than their replicas can run: whoever cannot be served in time is
+// told so at once instead of after the wait.
 class wait_estimator {
  public:
   using queue_key = std::pair<service_name, model_name>;
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -29,6 +29,8 @@
 constexpr duration kMinDrainTime = std::chrono::milliseconds(6500);
 // Requests in flight are aborted this long before the stop grace period ends.
 constexpr duration kAbortMargin = std::chrono::milliseconds(350);
+// Interval in which a relay gets the loads of the other gateways.
+constexpr duration kRelayDelay = std::chrono::milliseconds(100);
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -198,6 +200,7 @@
                 loads[id] = {static_cast<double>(requests),
                              static_cast<double>(tokens)};
               });
+  selector_.SetSourceDelay(answer.is_relay() ? kRelayDelay : duration(0));
   selector_.SetTotalLoads(loads, loop_.get_now());
   selector_.SetGatewayCount(std::size_t{answer.gateway_count()});
   retries_.SetGatewayCount(std::size_t{answer.gateway_count()});
--- a/main/order_executor.cc
+++ b/main/order_executor.cc
@@ -189,10 +189,18 @@
   options.connect_timeout = kReachabilityTimeout;
   options.max_idle_time = duration(0);
   metrics_.Count("ebony_report_calls_total");
-  state.check =
-      pool_.Start(record->status.address,
-                  platform::RenderReportCall(record->status), false, options,
-                  std::move(hooks));
+  state.check = pool_.Start(record->status.address,
+                            platform::RenderReportCall(record->status), false,
+                            options, std::move(hooks));
+  // A server that accepts the connection and stays silent is not suspected:
+  // its announcements decide.
+  loop_.AddTimerIn(2 * kReachabilityTimeout, [this, id] {
+    auto& checked = server_states_[id];
+    if (checked.check != nullptr) {
+      checked.check->Cancel();
+      checked.check = nullptr;
+    }
+  });
 }
 
 auto order_executor::OnUnreachable(const backend_name& id) -> void {
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -155,8 +155,8 @@
   return duration(0);
 }
 
-// Returns the time until there may be room for a model whose replicas are all at
-// their limit: on average, a further one has half of its load time left.
+// Returns the time until there may be room for a model whose replicas are all
+// at their limit: on average, a further one has half of its load time left.
 auto proxy_session::GetOverloadWait() const -> duration {
   return GetModelLoadTime() / 2;
 }
@@ -473,8 +473,10 @@
       server_answer_.not_run) {
     return;
   }
-  const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
-      context_.loop.get_now() - sent_at_);
+  const auto slot_time = context_.loop.get_now() - sent_at_;
+  context_.selector.AddSlotTime(slot_time);
+  const auto took =
+      std::chrono::duration_cast<std::chrono::milliseconds>(slot_time);
   auto& count =
       context_.demand[{service_.name, metadata_.model, metadata_.adapter}];
   ++count.ended;
--- a/main/sync_relay.h
+++ b/main/sync_relay.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <tuple>
 
-#include "core/service_samples.h"
 #include "control/load_totals.h"
 #include "core/ids.h"
+#include "core/service_samples.h"
 #include "main/registry_replica.h"
 #include "schema/site.pb.h"
 
--- a/tests/backend_registry_test.cc
+++ b/tests/backend_registry_test.cc
@@ -87,8 +87,8 @@
 BOOST_AUTO_TEST_CASE(a_silent_server_is_suspected_until_it_announces) {
   auto registry = MakeRegistry();
   registry.Announce(MakeStatus(10, 1), At(0));
-  BOOST_TEST(registry.Expire(At(3900)).empty());
-  BOOST_TEST(registry.Expire(At(4100)).size() == 1U);
+  BOOST_TEST(registry.Expire(At(2600)).empty());
+  BOOST_TEST(registry.Expire(At(2800)).size() == 1U);
   BOOST_TEST(registry.Find(backend_name("b"))->is_suspected);
   registry.Announce(MakeStatus(10, 2), At(4200));
   BOOST_TEST(!registry.Find(backend_name("b"))->is_suspected);
@@ -138,6 +138,23 @@
   }
 }
 
+// A new leader starts from an older copy of the registry, so its record may
+// have a lower sequence than the gateway's.
+BOOST_AUTO_TEST_CASE(a_suspicion_is_merged_whatever_its_sequence) {
+  auto gateway = MakeRegistry();
+  gateway.Announce(MakeStatus(10, 9), At(0));
+  auto record = backend_record();
+  record.status = MakeStatus(10, 4);
+  record.is_suspected = true;
+  BOOST_TEST(gateway.Merge(record, At(10)));
+  BOOST_TEST(gateway.Find(backend_name("b"))->is_suspected);
+  BOOST_TEST(gateway.Find(backend_name("b"))->status.sequence == 9U);
+  record.status.start_time_ms = 9;
+  gateway.Announce(MakeStatus(10, 10), At(20));
+  BOOST_TEST(!gateway.Merge(record, At(30)));
+  BOOST_TEST(!gateway.Find(backend_name("b"))->is_suspected);
+}
+
 BOOST_AUTO_TEST_CASE(a_departure_of_an_earlier_start_is_not_merged) {
   auto gateway = MakeRegistry();
   gateway.Announce(MakeStatus(11, 1), At(0));
--- a/tests/gateway_rules_test.cc
+++ b/tests/gateway_rules_test.cc
@@ -320,6 +320,42 @@
   BOOST_TEST(selector.Choose(query, At(0)).server->id.get() == "b2");
 }
 
+// Load that it answers: many gateways that learn of each other's load late. An
+// engine queues what it ends meanwhile, so that no slot is idle, and no more.
+BOOST_AUTO_TEST_CASE(an_engine_queues_what_it_ends_between_exchanges) {
+  const auto count_sent = [](std::chrono::milliseconds interval,
+                             std::chrono::milliseconds slot_time) {
+    auto registry = backend_registry(backend_registry_options());
+    auto server = MakeServer("b1", "m");
+    server.slots = 40;
+    registry.Announce(server, At(0));
+    auto selector = server_selector(server_selector_options(), registry,
+                                    [](std::uint64_t) { return 0; });
+    auto time = At(0);
+    for (auto i = 0; i < 200; ++i) {
+      time += interval;
+      selector.SetTotalLoads({}, time);
+      selector.AddSlotTime(slot_time);
+    }
+    auto query = server_query();
+    query.service = service_name("s");
+    query.is_engine = true;
+    query.model = model_name("m");
+    auto sent = 0;
+    while (selector.Choose(query, time).verdict == server_verdict::chosen) {
+      selector.OnStarted(backend_name("b1"), 0);
+      ++sent;
+    }
+    return sent;
+  };
+  BOOST_TEST(count_sent(std::chrono::milliseconds(50),
+                        std::chrono::milliseconds(2000)) == 41);
+  BOOST_TEST(count_sent(std::chrono::milliseconds(220),
+                        std::chrono::milliseconds(2000)) == 44);
+  BOOST_TEST(count_sent(std::chrono::milliseconds(400),
+                        std::chrono::milliseconds(400)) == 50);
+}
+
 BOOST_AUTO_TEST_CASE(the_load_of_other_gateways_counts) {
   auto registry = backend_registry(backend_registry_options());
   registry.Announce(MakeServer("b1", "m"), At(0));
@@ -355,6 +391,42 @@
   BOOST_TEST(selector.GetLoad(id, At(1000)).requests == 1);
 }
 
+// Load that it answers: a quarter of the servers crash at once. Their models'
+// requests are not spent on connections that are refused, whatever share of the
+// servers is affected.
+BOOST_AUTO_TEST_CASE(a_server_that_refuses_connections_is_excluded) {
+  auto registry = backend_registry(backend_registry_options());
+  for (const auto* name : {"i-1", "i-2"}) {
+    auto status = backend_status();
+    status.id = backend_name(name);
+    status.service = service_name("s");
+    status.slots = 4;
+    status.start_time_ms = 5;
+    registry.Announce(status, At(0));
+  }
+  auto selector = server_selector(server_selector_options(), registry,
+                                  [](std::uint64_t) { return 0; });
+  auto query = server_query();
+  query.service = service_name("s");
+  for (auto i = 0; i < 2; ++i) {
+    selector.OnUnreachable(backend_name("i-1"), At(10));
+    selector.OnUnreachable(backend_name("i-2"), At(10));
+  }
+  BOOST_TEST(selector.TakeUnreachable().size() == 2U);
+  BOOST_TEST(selector.TakeUnreachable().empty());
+  BOOST_TEST(
+      (selector.Choose(query, At(20)).verdict == server_verdict::no_replica));
+  // It is tried again after a while, and at once after a restart.
+  BOOST_TEST(
+      (selector.Choose(query, At(5000)).verdict == server_verdict::chosen));
+  auto restarted = registry.Find(backend_name("i-2"))->status;
+  restarted.start_time_ms = 6;
+  registry.Announce(restarted, At(30));
+  const auto choice = selector.Choose(query, At(40));
+  BOOST_REQUIRE((choice.verdict == server_verdict::chosen));
+  BOOST_TEST((choice.server->id == backend_name("i-2")));
+}
+
 BOOST_AUTO_TEST_CASE(at_most_half_of_the_servers_are_ejected) {
   auto registry = backend_registry(backend_registry_options());
   for (const auto* id : {"b1", "b2", "b3", "b4"}) {
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -297,6 +297,39 @@
   BOOST_TEST(CountReceived(harness) == 2U);
 }
 
+// Load that it answers: servers crash while models move, so that a stream is
+// resumed at a server that has just dropped its model.
+BOOST_AUTO_TEST_CASE(a_server_that_has_not_run_a_request_uses_up_no_attempt) {
+  auto harness = gateway_harness(3);
+  harness.AddCommonScript(
+      {{kStreamHead + RenderChunk("id: 1\ndata: a\n\n")}, ending::reset});
+  harness.AddCommonScript(
+      {{"HTTP/1.1 421 Misdirected Request\r\nEbonythread-Request-Id: $ID\r\n"
+        "Ebonythread-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"},
+       ending::keep});
+  harness.AddCommonScript(
+      {{kStreamHead + RenderChunk("id: 2\ndata: b\n\n") + RenderChunk({})},
+       ending::keep});
+  const auto response = harness.Send(MakeRequest("resume", "id-1"));
+  harness.RunUntil(
+      [&] { return response->is_complete || response->is_closed; });
+  BOOST_TEST(response->is_complete);
+  BOOST_TEST(response->body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  BOOST_TEST(CountReceived(harness) == 3U);
+}
+
+// A request that no server runs is refused after a bounded number of tries.
+BOOST_AUTO_TEST_CASE(servers_that_do_not_run_a_request_are_tried_a_few_times) {
+  auto harness = gateway_harness(8);
+  const auto script = server_script{
+      {"HTTP/1.1 503 Service Unavailable\r\nEbonythread-Request-Id: $ID\r\n"
+       "Ebonythread-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"},
+      ending::keep};
+  const auto response = SendScripted(harness, "plain", script);
+  BOOST_TEST(response->status == 503);
+  BOOST_TEST(CountReceived(harness) <= 4U);
+}
+
 BOOST_AUTO_TEST_CASE(a_stalled_stream_is_kept_without_another_server) {
   auto harness = gateway_harness(1);
   harness.AddCommonScript(
--- a/tests/model_planner_test.cc
+++ b/tests/model_planner_test.cc
@@ -12,6 +12,7 @@
 auto MakeEngine(int models, double weights) -> engine_spec {
   auto engine = engine_spec();
   engine.model_memory_mb = 200;
+  engine.batch_slots = 24;
   engine.adapter_slots = 2;
   engine.loads_per_second = 1.6;
   for (auto i = 0; i < models; ++i) {
@@ -147,6 +148,31 @@
   }
 }
 
+// Load that it answers: a quarter of the servers crashed and came back empty.
+// The replicas of asked models are loaded before those of models that nobody
+// asks for, also further ones for a model with more demand than a replica runs.
+BOOST_AUTO_TEST_CASE(after_a_crash_asked_models_are_loaded_first) {
+  auto harness = planner_harness(MakeEngine(6, 60), 6);
+  const auto demand = std::map<std::string, double>{{"m0", 60}, {"m1", 10}};
+  harness.Run(20000, demand);
+  for (auto& server : harness.servers) {
+    server.models.clear();
+  }
+  const auto crashed_at = harness.ms;
+  while (harness.CountCopies(model_name("m0")) < 2 ||
+         harness.CountCopies(model_name("m1")) < 1) {
+    BOOST_REQUIRE(harness.ms < crashed_at + 10000);
+    for (const auto* unasked : {"m2", "m3", "m4", "m5"}) {
+      BOOST_TEST_REQUIRE(harness.CountCopies(model_name(unasked)) == 0);
+    }
+    harness.Run(harness.ms + 100, demand);
+  }
+  harness.Run(crashed_at + 20000, demand);
+  for (const auto& model : harness.engine.models) {
+    BOOST_TEST(harness.CountCopies(model.name) >= 1);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(steady_demand_causes_no_moves) {
   auto harness = planner_harness(MakeEngine(6, 60), 6);
   harness.Run(30000, {{"m0", 30}, {"m1", 10}});
--- a/tests/sync_relay_test.cc
+++ b/tests/sync_relay_test.cc
@@ -150,7 +150,7 @@
     return replica.get_registry().Find(backend_name("i-1"));
   };
   BOOST_REQUIRE(find(100) != nullptr);
-  BOOST_TEST(!find(3900)->is_suspected);
+  BOOST_TEST(!find(2600)->is_suspected);
   BOOST_TEST(find(9000)->is_suspected);
   BOOST_TEST(find(90000) == nullptr);
   const auto* listed = replica.get_registry().Find(backend_name("i-2"));
@@ -171,6 +171,27 @@
   BOOST_TEST(own.Expire(now).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_relay_passes_on_what_gateways_observe) {
+  SyncWithLeader();
+  auto replica = registry_replica();
+  Sync("edge-1", replica);
+  auto request = schema::sync_request();
+  request.set_vm("edge-1");
+  replica.FillRequest(request);
+  request.add_unreachable(replica.get_index().GetNumber(backend_name("i-2")));
+  auto sums = first_event_sums();
+  sums.Add(1.5, 0.1);
+  *request.mutable_first_events() = ToSchema(sums);
+  relay.HandleGatewaySync(request, now);
+  relay.HandleGatewaySync(request, now);
+  const auto to_leader = SyncWithLeader();
+  BOOST_REQUIRE(to_leader.unreachable_size() == 1);
+  BOOST_TEST(to_leader.unreachable(0) == index.GetNumber(backend_name("i-2")));
+  BOOST_TEST(to_leader.first_events().count() == 2);
+  BOOST_TEST(to_leader.first_events().tokens() == 3);
+  BOOST_TEST(SyncWithLeader().unreachable_size() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(a_gateway_gets_the_registry_once_and_then_its_changes) {
   SyncWithLeader();
   auto replica = registry_replica();
