--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -198,6 +198,12 @@
   if (!wait || *wait <= limit) {
     return false;
   }
+  context_.log.Write(event_category::request, "not_queued",
+                     {{"request", metadata_.id.get()},
+                      {"route", rule_.name.get()},
+                      {"model", metadata_.model.get()},
+                      {"expected_ms", *wait},
+                      {"limit_ms", limit}});
   Reject(error_kind::overloaded, std::max(*wait, GetOverloadWait()));
   return true;
 }
