Logs: the framing of a server's answer and where its stream ended

Change: answered and attempt_ended carry framing, events and partial_bytes. http_head holds a body_framing in place of a flag. Events of streams that can't be resumed are counted too; what is forwarded is unchanged.

Conclusion: the fault has to be reproduced in a test of ours for each framing.

--- a/drivers/http_message.cc
+++ b/drivers/http_message.cc
@@ -33,6 +33,18 @@
 
 }  // namespace
 
+auto GetBodyFramingText(body_framing framing) -> std::string_view {
+  switch (framing) {
+    case body_framing::length:
+      return "length";
+    case body_framing::chunked:
+      return "chunked";
+    case body_framing::at_close:
+      break;
+  }
+  return "at_close";
+}
+
 auto IsSameFieldName(std::string_view left, std::string_view right) -> bool {
   return beast::iequals({left.data(), left.size()},
                         {right.data(), right.size()});
@@ -94,6 +106,14 @@
     return this->is_done() ? parse_status::complete : parse_status::need_more;
   }
 
+  auto GetFraming() const -> body_framing {
+    if (this->chunked()) {
+      return body_framing::chunked;
+    }
+    return !is_request && this->need_eof() ? body_framing::at_close
+                                           : body_framing::length;
+  }
+
   auto on_request_impl(http::verb,
                        beast::string_view method,
                        beast::string_view target,
@@ -115,7 +135,7 @@
   }
   auto on_header_impl(error&) -> void override {
     head_.keep_alive = this->keep_alive();
-    head_.body_ends_at_close = !is_request && this->need_eof();
+    head_.framing = GetFraming();
     hooks_.on_head(std::move(head_));
   }
   auto on_body_init_impl(const boost::optional<std::uint64_t>&, error&)
--- a/drivers/http_message.h
+++ b/drivers/http_message.h
@@ -16,6 +16,16 @@
   std::string value;
 };
 
+// How the end of a message's body is determined (RFC 9112, section 6.3).
+enum class body_framing {
+  length,    // a known length, also 0
+  chunked,   // ends with the last chunk
+  at_close,  // ends when the connection closes; responses only
+};
+
+// Returns the name used in log lines.
+auto GetBodyFramingText(body_framing framing) -> std::string_view;
+
 // Start line and header fields of an HTTP/1.1 message.
 struct http_head {
   std::string method;  // of a request
@@ -23,8 +33,7 @@
   int status = 0;      // of a response
   std::vector<http_field> fields;
   bool keep_alive = true;  // the connection stays open after the message
-  // The body of a response has no length and ends when the connection closes.
-  bool body_ends_at_close = false;
+  body_framing framing = body_framing::length;
 
   // Returns the value of the first field with this name, or nullptr. Names are
   // compared without regard to case.
--- a/drivers/http_pool.cc
+++ b/drivers/http_pool.cc
@@ -74,7 +74,7 @@
 
   auto OnHead(const http_head& head) -> void {
     status_ = head.status;
-    keep_alive_ = head.keep_alive && !head.body_ends_at_close;
+    keep_alive_ = head.keep_alive && head.framing != body_framing::at_close;
     keep_alive_time_ = GetKeepAliveTime(head);
     is_bodyless_ = is_head_request_;
     if (status_ < kFirstFinalStatus) {
--- a/entry/sse_reader.h
+++ b/entry/sse_reader.h
@@ -30,6 +30,8 @@
   // Discards buffered bytes.
   auto Reset() -> void;
 
+  // Returns the number of bytes buffered of an incomplete event.
+  auto get_partial_bytes() const -> std::size_t { return buffer_.size(); }
   // Returns true after an event that exceeds the size limit of 1 MiB. Further
   // bytes are then ignored.
   auto is_overlong() const -> bool { return is_overlong_; }
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -439,20 +439,21 @@
     answer_->Begin(platform::MakeCallerHead(response_head_));
   }
   RecordWrite();
-  if (rule_.retry != retry_policy::resumable) {
-    answer_->Append(bytes);
-  } else {
-    // Only complete events are forwarded, so that another server can resume the
-    // stream after the last of them.
-    auto events = std::string();
-    event_reader_.Feed(bytes, [&](const sse_event& event) {
-      events.append(event.raw);
-      if (event.id > 0) {
-        last_event_id_ = std::to_string(event.id);
-      }
-    });
-    answer_->Append(events);
-  }
+  // Only complete events of a resumable stream are forwarded, so that another
+  // server can resume it after the last of them.
+  const auto is_resumable = rule_.retry == retry_policy::resumable;
+  auto events = std::string();
+  event_reader_.Feed(bytes, [&](const sse_event& event) {
+    ++events_;
+    if (!is_resumable) {
+      return;
+    }
+    events.append(event.raw);
+    if (event.id > 0) {
+      last_event_id_ = std::to_string(event.id);
+    }
+  });
+  answer_->Append(is_resumable ? events : bytes);
   if (answer_->GetUnsentBytes() > kMaxUnsentBytes) {
     attempt_->Cancel();
     ReleaseServer();
@@ -568,6 +569,10 @@
          {"backend", server_.get()},
          {"end", std::string(GetAttemptOutcomeText(outcome))},
          {"status", static_cast<std::int64_t>(server_answer_.status)},
+         {"framing", std::string(GetBodyFramingText(response_head_.framing))},
+         {"events", static_cast<std::int64_t>(events_)},
+         {"partial_bytes",
+          static_cast<std::int64_t>(event_reader_.get_partial_bytes())},
          {"took_ms", duration(now - sent_at_)},
          {"next", std::string(GetAttemptActionText(action))}});
   }
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -111,6 +111,7 @@
 
   // Forwarding of a stream.
   sse_reader event_reader_;
+  std::uint64_t events_ = 0;   // complete events received, of all attempts
   std::string last_event_id_;  // id of the last event sent to the caller
   mono_time last_write_;       // when bytes were last sent to the caller
   // From the request's arrival to the first bytes sent to the caller.
--- a/main/proxy_session_end.cc
+++ b/main/proxy_session_end.cc
@@ -143,18 +143,23 @@
                           outcome + "\"}");
   context_.counters.Observe("ebony_relay_seconds",
                             std::chrono::duration<double>(took).count());
-  context_.log.Write(event_category::request, "answered",
-                     {{"request", metadata_.id.get()},
-                      {"route", rule_.name.get()},
-                      {"outcome", outcome},
-                      {"status", static_cast<std::int64_t>(status)},
-                      {"backend", server_.get()},
-                      {"attempts", static_cast<std::int64_t>(attempts_)},
-                      {"config", static_cast<std::int64_t>(
-                                     route_table_->get_config().number.get())},
-                      {"first_ms", first_event_delay_},
-                      {"pause_ms", longest_gap_},
-                      {"took_ms", duration(took)}});
+  context_.log.Write(
+      event_category::request, "answered",
+      {{"request", metadata_.id.get()},
+       {"route", rule_.name.get()},
+       {"outcome", outcome},
+       {"status", static_cast<std::int64_t>(status)},
+       {"backend", server_.get()},
+       {"attempts", static_cast<std::int64_t>(attempts_)},
+       {"config",
+        static_cast<std::int64_t>(route_table_->get_config().number.get())},
+       {"framing", std::string(GetBodyFramingText(response_head_.framing))},
+       {"events", static_cast<std::int64_t>(events_)},
+       {"partial_bytes",
+        static_cast<std::int64_t>(event_reader_.get_partial_bytes())},
+       {"first_ms", first_event_delay_},
+       {"pause_ms", longest_gap_},
+       {"took_ms", duration(took)}});
 }
 
 }  // namespace ebony
