--- /dev/null
+++ b/tests/broken_answer_test.cc
@@ -0,0 +1,174 @@
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+#include "tests/gateway_harness.h"
+
+namespace ebony::testing {
+
+namespace {
+
+using ending = server_script::ending;
+
+const auto kFramings = {body_framing::length, body_framing::chunked,
+                        body_framing::at_close};
+
+// Renders a signed event stream. `stated_bytes` is the length that a response
+// with a length states; 0 states that of the body.
+auto MakeStream(body_framing framing,
+                const std::string& body,
+                std::size_t stated_bytes = 0) -> std::string {
+  const auto head = std::string(
+      "HTTP/1.1 200 OK\r\nEbonythread-Request-Id: $ID\r\n"
+      "Ebonythread-Response-Seal: seal-$ID\r\n"
+      "Content-Type: text/event-stream\r\n");
+  switch (framing) {
+    case body_framing::length:
+      return head + "Content-Length: " +
+             std::to_string(stated_bytes > 0 ? stated_bytes : body.size()) +
+             "\r\n\r\n" + body;
+    case body_framing::chunked:
+      return head + "Transfer-Encoding: chunked\r\n\r\n" + RenderChunk(body);
+    case body_framing::at_close:
+      break;
+  }
+  return head + "\r\n" + body;
+}
+
+// The same, with an orderly end of the framing.
+auto MakeFinishedStream(body_framing framing, const std::string& body)
+    -> server_script {
+  auto script = server_script();
+  script.writes = {MakeStream(framing, body)};
+  if (framing == body_framing::chunked) {
+    script.writes.push_back(RenderChunk({}));
+  }
+  script.end = framing == body_framing::at_close ? ending::close : ending::keep;
+  return script;
+}
+
+auto IsOver(const std::shared_ptr<caller_response>& response) -> bool {
+  return response->is_complete || response->is_closed;
+}
+
+// Sends a request whose attempts are answered with `scripts`, one after the
+// other, by as many servers.
+auto SendScripted(const std::string& route,
+                  const std::vector<server_script>& scripts)
+    -> std::shared_ptr<caller_response> {
+  auto harness = gateway_harness(static_cast<int>(scripts.size()));
+  for (const auto& script : scripts) {
+    harness.AddCommonScript(script);
+  }
+  const auto response = harness.Send(MakeRequest(route, "id-1"));
+  harness.RunUntil([&] { return IsOver(response); });
+  return response;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(broken_answers)
+
+BOOST_AUTO_TEST_CASE(a_stream_that_ends_inside_an_event_is_not_complete) {
+  for (const auto* route : {"stream", "resume"}) {
+    for (const auto framing : kFramings) {
+      for (const auto* part : {"id: 2", "id: 2\n", "id: 2\ndata: b\n"}) {
+        const auto body = std::string("id: 1\ndata: a\n\n") + part;
+        BOOST_TEST_CONTEXT(route << ", " << GetBodyFramingText(framing) << ", '"
+                                 << part << "'") {
+          const auto response =
+              SendScripted(route, {MakeFinishedStream(framing, body)});
+          BOOST_TEST(response->status == 200);
+          BOOST_TEST(!response->is_complete);
+        }
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_ends_inside_its_first_event_is_a_failure) {
+  for (const auto* route : {"stream", "resume"}) {
+    for (const auto framing : kFramings) {
+      BOOST_TEST_CONTEXT(route << ", " << GetBodyFramingText(framing)) {
+        const auto response =
+            SendScripted(route, {MakeFinishedStream(framing, "id: 1\ndata")});
+        BOOST_TEST((response->status == 502 || !response->is_complete));
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_closes_before_any_event_is_a_failure) {
+  for (const auto* route : {"stream", "resume"}) {
+    const auto response =
+        SendScripted(route, {MakeFinishedStream(body_framing::at_close, {})});
+    BOOST_TEST((response->status == 502 || !response->is_complete));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_ends_inside_an_event_is_resumed) {
+  for (const auto framing : kFramings) {
+    BOOST_TEST_CONTEXT(GetBodyFramingText(framing)) {
+      const auto response = SendScripted(
+          "resume", {MakeFinishedStream(framing, "id: 1\ndata: a\n\nid: 2\nda"),
+                     MakeFinishedStream(framing, "id: 2\ndata: b\n\n")});
+      BOOST_TEST(response->is_complete);
+      BOOST_TEST(response->body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_stream_that_ends_inside_an_event_is_aborted) {
+  const auto first = server_script{
+      {MakeStream(body_framing::chunked, "id: 1\ndata: a\n\n")}, ending::reset};
+  for (const auto framing : kFramings) {
+    for (const auto* second : {"id: 2\nda", "id: 2\ndata: b\n\nid: 3\n"}) {
+      BOOST_TEST_CONTEXT(GetBodyFramingText(framing)
+                         << ", '" << second << "'") {
+        const auto response = SendScripted(
+            "resume", {first, MakeFinishedStream(framing, second)});
+        BOOST_TEST(response->status == 200);
+        BOOST_TEST(!response->is_complete);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_whose_framing_breaks_off_is_not_complete) {
+  const auto body = std::string("id: 1\ndata: a\n\n");
+  for (const auto* route : {"stream", "resume"}) {
+    for (const auto framing : kFramings) {
+      for (const auto end : {ending::close, ending::reset}) {
+        if (framing == body_framing::at_close && end == ending::close) {
+          continue;  // the orderly end of this framing
+        }
+        BOOST_TEST_CONTEXT(route << ", " << GetBodyFramingText(framing)) {
+          const auto response = SendScripted(
+              route, {{{MakeStream(framing, body, body.size() + 1)}, end}});
+          BOOST_TEST(!response->is_complete);
+        }
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_stream_is_complete_in_each_framing) {
+  for (const auto* route : {"stream", "resume"}) {
+    for (const auto framing : kFramings) {
+      for (const auto* body :
+           {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 1\r\ndata: a\r\n\r\n",
+            "id: 1\ndata: a\n\n: comment\n\n", "id: 1\ndata: a\n\n\n"}) {
+        BOOST_TEST_CONTEXT(route << ", " << GetBodyFramingText(framing) << ", '"
+                                 << body << "'") {
+          const auto response =
+              SendScripted(route, {MakeFinishedStream(framing, body)});
+          BOOST_TEST(response->is_complete);
+          BOOST_TEST(response->body == body);
+        }
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace ebony::testing
