An answer that is no event stream isn't forwarded as one

What callers saw: on a route that may be resumed, a 200 of another type than an event stream (say JSON) arrived as an empty body, framed as complete: the gateway holds back bytes until a blank line ends an event, and none came.

Cause: an answer counted as an event stream by its route and status alone; the type was decoded (is_event_stream) and never read.

Change: a stated type other than text/event-stream makes it a plain answer, delivered whole. No stated type still counts as events. Evidence: broken_answers/an_answer_of_another_type_than_events_is_not_lost failed on the parent (body empty on the resumable route), passes now.

--- a/core/request_metadata.h
+++ b/core/request_metadata.h
@@ -43,6 +43,7 @@
   bool is_signed = false;  // has a signature of the server
   bool not_run = false;    // states that the request was not executed
   bool has_content_encoding = false;  // encoding that was not requested
+  // The body is a stream of events, or its type is not stated.
   bool is_event_stream = false;
   backend_name backend;  // the server that answered; empty when not stated
 };
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -395,7 +395,7 @@
   response_head_ = head;
   server_answer_ = decoded;
   is_streaming_ = rule_.is_stream && head.status == kOk && decoded.is_signed &&
-                  !decoded.has_content_encoding;
+                  !decoded.has_content_encoding && decoded.is_event_stream;
   return true;
 }
 
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -169,6 +169,20 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_of_another_type_than_events_is_not_lost) {
+  for (const auto* route : {"stream", "resume"}) {
+    auto script = server_script();
+    script.writes = {
+        "HTTP/1.1 200 OK\r\nEbonythread-Request-Id: $ID\r\n"
+        "Ebonythread-Response-Seal: seal-$ID\r\n"
+        "Content-Type: application/json\r\nContent-Length: 11\r\n\r\n"
+        "{\"text\":\"\"}"};
+    const auto response = SendScripted(route, {script});
+    BOOST_TEST(response->is_complete);
+    BOOST_TEST(response->body == "{\"text\":\"\"}");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
