A stream that ends inside an event was broken off, whatever its framing says

Cause: proxy_session took the end of the server's framing for the end of the stream. An answer without length or chunks ends with its connection, so http_pool reported a whole answer when a crashing engine's connection closed in an orderly way, and the session wrote the last chunk. The same held for chunks or a length that end inside an event, for the first event, for no event at all, and for a resumed run.

Change: event_boundary follows the bytes of a stream (one grammar, now also that of sse_reader, which scanned its buffer anew for each piece). A stream that is over inside an event, or that closes without framing before any event, is an attempt that ended truncated: resumed where the route allows, else aborted, or a 502 when nothing was sent. The head of a resumable answer goes out with its first whole event. The stand-in's default answer now states its type (text/plain): it is no event stream, and two tests use it on a stream route; nothing they check has changed.

Why it works: the content says whether the server had finished, the transport does not. What it can't see: an answer without framing that breaks off exactly between two events.

--- a/entry/attempt_policy.cc
+++ b/entry/attempt_policy.cc
@@ -40,6 +40,8 @@
       return "cut";
     case attempt_outcome::invalid:
       return "spoiled";
+    case attempt_outcome::truncated:
+      return "truncated";
     case attempt_outcome::stalled:
       break;
   }
--- a/entry/attempt_policy.h
+++ b/entry/attempt_policy.h
@@ -17,6 +17,7 @@
   not_run,      // the server reported that it did not execute the request
   interrupted,  // the connection ended; the request may have been executed
   invalid,      // the answer is malformed or comes from another server
+  truncated,    // the answer ended in an orderly way, but inside an event
   stalled,      // no answer or no stream event within the time limit
 };
 
--- a/entry/sse_reader.cc
+++ b/entry/sse_reader.cc
@@ -1,6 +1,7 @@
 #include "entry/sse_reader.h"
 
 #include <charconv>
+#include <utility>
 
 #include "core/hashing.h"
 
@@ -44,17 +45,6 @@
   return event;
 }
 
-// Returns the end of the first complete event, or npos.
-auto FindEventEnd(const std::string& buffer, std::size_t from) -> std::size_t {
-  const auto lf_end = buffer.find("\n\n", from);
-  const auto crlf_end = buffer.find("\r\n\r\n", from);
-  if (crlf_end != std::string::npos &&
-      (lf_end == std::string::npos || crlf_end < lf_end)) {
-    return crlf_end + 4;
-  }
-  return lf_end == std::string::npos ? lf_end : lf_end + 2;
-}
-
 }  // namespace
 
 auto sse_reader::Feed(std::string_view bytes,
@@ -63,21 +53,17 @@
   if (is_overlong_) {
     return;
   }
-  buffer_.append(bytes);
-  auto begin = std::size_t{0};
-  for (;;) {
-    const auto end = FindEventEnd(buffer_, begin);
-    if (end == std::string::npos) {
-      break;
-    }
-    on_event(ParseEvent(std::string_view(buffer_).substr(begin, end - begin)));
-    begin = end;
+  while (const auto end = boundary_.FindEventEnd(bytes)) {
+    buffer_.append(bytes.substr(0, *end));
+    bytes.remove_prefix(*end);
+    on_event(ParseEvent(std::exchange(buffer_, {})));
   }
-  buffer_.erase(0, begin);
+  buffer_.append(bytes);
   is_overlong_ = buffer_.size() > kMaxEventBytes;
 }
 
 auto sse_reader::Reset() -> void {
+  boundary_ = {};
   buffer_.clear();
   is_overlong_ = false;
 }
--- a/entry/sse_reader.h
+++ b/entry/sse_reader.h
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include "entry/event_boundary.h"
+
 namespace ebony {
 
 // One server-sent event as it was received.
@@ -20,6 +22,7 @@
 // are buffered, so that an interrupted stream never delivers a partial event.
 // Source: WHATWG HTML, "Server-sent events", 9.2.6.
 class sse_reader {
+  event_boundary boundary_;
   std::string buffer_;
   bool is_overlong_ = false;
 
@@ -30,8 +33,6 @@
   // Discards buffered bytes.
   auto Reset() -> void;
 
-  // Returns the number of bytes buffered of an incomplete event.
-  auto get_partial_bytes() const -> std::size_t { return buffer_.size(); }
   // Returns true after an event that exceeds the size limit of 1 MiB. Further
   // bytes are then ignored.
   auto is_overlong() const -> bool { return is_overlong_; }
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -323,6 +323,7 @@
   response_head_ = http_head();
   server_answer_ = server_answer();
   response_body_.clear();
+  stream_position_ = {};
   event_reader_.Reset();
   prefill_tokens_ = static_cast<double>(metadata_.prompt_tokens);
   const auto requests = context_.selector.GetLoad(server_, now).requests;
@@ -435,25 +436,27 @@
 }
 
 auto proxy_session::ForwardEvents(std::string_view bytes) -> void {
+  stream_position_.Follow(bytes);
+  auto events = std::string();
+  if (rule_.retry == retry_policy::resumable) {
+    // Only complete events are forwarded, so that another server can resume the
+    // stream after the last of them.
+    event_reader_.Feed(bytes, [&](const sse_event& event) {
+      events.append(event.raw);
+      if (event.id > 0) {
+        last_event_id_ = std::to_string(event.id);
+      }
+    });
+    bytes = events;
+  }
+  if (bytes.empty()) {
+    return;
+  }
   if (!answer_->has_begun()) {
     answer_->Begin(platform::MakeCallerHead(response_head_));
   }
   RecordWrite();
-  // Only complete events of a resumable stream are forwarded, so that another
-  // server can resume it after the last of them.
-  const auto is_resumable = rule_.retry == retry_policy::resumable;
-  auto events = std::string();
-  event_reader_.Feed(bytes, [&](const sse_event& event) {
-    ++events_;
-    if (!is_resumable) {
-      return;
-    }
-    events.append(event.raw);
-    if (event.id > 0) {
-      last_event_id_ = std::to_string(event.id);
-    }
-  });
-  answer_->Append(is_resumable ? events : bytes);
+  answer_->Append(bytes);
   if (answer_->GetUnsentBytes() > kMaxUnsentBytes) {
     attempt_->Cancel();
     ReleaseServer();
@@ -461,6 +464,14 @@
   }
 }
 
+// A framing that ends does not prove that the server had finished: one that
+// breaks off may close its connection in an orderly way.
+auto proxy_session::IsStreamWhole() const -> bool {
+  const auto is_framed = response_head_.framing != body_framing::at_close;
+  return !stream_position_.is_inside_event() &&
+         (is_framed || stream_position_.get_events() > 0);
+}
+
 auto proxy_session::OnComplete() -> void {
   if (server_answer_.not_run) {
     OnAttemptEnd(attempt_outcome::not_run);
@@ -472,6 +483,11 @@
     OnAttemptEnd(attempt_outcome::invalid);
     return;
   }
+  if (is_streaming_ && !IsStreamWhole()) {
+    context_.counters.Count("ebony_truncated_streams_total");
+    OnAttemptEnd(attempt_outcome::truncated);
+    return;
+  }
   OnAttemptEnd(attempt_outcome::complete);
 }
 
@@ -570,9 +586,9 @@
          {"end", std::string(GetAttemptOutcomeText(outcome))},
          {"status", static_cast<std::int64_t>(server_answer_.status)},
          {"framing", std::string(GetBodyFramingText(response_head_.framing))},
-         {"events", static_cast<std::int64_t>(events_)},
+         {"events", static_cast<std::int64_t>(stream_position_.get_events())},
          {"partial_bytes",
-          static_cast<std::int64_t>(event_reader_.get_partial_bytes())},
+          static_cast<std::int64_t>(stream_position_.get_partial_bytes())},
          {"took_ms", duration(now - sent_at_)},
          {"next", std::string(GetAttemptActionText(action))}});
   }
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -17,6 +17,7 @@
 #include "drivers/http_listener.h"
 #include "drivers/http_pool.h"
 #include "entry/attempt_policy.h"
+#include "entry/event_boundary.h"
 #include "entry/pending_queue.h"
 #include "entry/retry_allowance.h"
 #include "entry/route_table.h"
@@ -110,10 +111,10 @@
   std::optional<buffered_response> error_response_;
 
   // Forwarding of a stream.
-  sse_reader event_reader_;
-  std::uint64_t events_ = 0;   // complete events received, of all attempts
-  std::string last_event_id_;  // id of the last event sent to the caller
-  mono_time last_write_;       // when bytes were last sent to the caller
+  event_boundary stream_position_;  // of the latest attempt
+  sse_reader event_reader_;         // of a resumable stream
+  std::string last_event_id_;       // id of the last event sent to the caller
+  mono_time last_write_;            // when bytes were last sent to the caller
   // From the request's arrival to the first bytes sent to the caller.
   duration first_event_delay_{0};
   duration longest_gap_{0};  // between consecutive writes to the caller
@@ -146,6 +147,8 @@
   auto OnBody(std::string_view bytes) -> void;
   auto ForwardEvents(std::string_view bytes) -> void;
   auto RecordWrite() -> void;
+  // Returns false if the stream of the latest attempt was broken off.
+  auto IsStreamWhole() const -> bool;
   auto OnComplete() -> void;
   auto MayRetry(attempt_outcome outcome) -> bool;
   auto OnAttemptEnd(attempt_outcome outcome) -> void;
--- a/main/proxy_session_end.cc
+++ b/main/proxy_session_end.cc
@@ -154,9 +154,9 @@
        {"config",
         static_cast<std::int64_t>(route_table_->get_config().number.get())},
        {"framing", std::string(GetBodyFramingText(response_head_.framing))},
-       {"events", static_cast<std::int64_t>(events_)},
+       {"events", static_cast<std::int64_t>(stream_position_.get_events())},
        {"partial_bytes",
-        static_cast<std::int64_t>(event_reader_.get_partial_bytes())},
+        static_cast<std::int64_t>(stream_position_.get_partial_bytes())},
        {"first_ms", first_event_delay_},
        {"pause_ms", longest_gap_},
        {"took_ms", duration(took)}});
--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -97,7 +97,8 @@
 auto MakeResponse(int status, const std::string& body) -> std::string {
   return "HTTP/1.1 " + std::to_string(status) +
          " X\r\nEbonythread-Request-Id: $ID\r\n"
-         "Ebonythread-Response-Seal: seal-$ID\r\nContent-Length: " +
+         "Ebonythread-Response-Seal: seal-$ID\r\n"
+         "Content-Type: text/plain\r\nContent-Length: " +
          std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -152,7 +152,8 @@
                  const std::string& fields = {},
                  const std::string& body = {}) -> std::string;
 
-// Renders a complete response of a server with its signature.
+// Renders a complete response of a server with its signature. Its type is plain
+// text.
 auto MakeResponse(int status, const std::string& body) -> std::string;
 
 }  // namespace ebony::testing
--- a/tests/gateway_rules_test.cc
+++ b/tests/gateway_rules_test.cc
@@ -16,7 +16,8 @@
 
 const auto kOutcomes = {attempt_outcome::complete, attempt_outcome::not_sent,
                         attempt_outcome::not_run,  attempt_outcome::interrupted,
-                        attempt_outcome::invalid,  attempt_outcome::stalled};
+                        attempt_outcome::invalid,  attempt_outcome::truncated,
+                        attempt_outcome::stalled};
 const auto kRules = {retry_policy::idempotent, retry_policy::at_most_once,
                      retry_policy::resumable};
 
