Line ends after the last event of a resumable stream reach the caller

What callers saw: on resumable routes, a line end after the blank line of the last event was missing from the body, so that it wasn't the server's whole body.

Cause: the reader holds back what belongs to no complete event, and the end of the stream dropped it. Ruled out: the framing (the same in all three). Change: what is left when a whole stream ends, which can only be line ends, is sent. Conclusion: bytes held back have to be accounted for at each end of a stream.

--- a/entry/sse_reader.h
+++ b/entry/sse_reader.h
@@ -33,6 +33,8 @@
   // Discards buffered bytes.
   auto Reset() -> void;
 
+  // Returns the buffered bytes, which belong to no complete event.
+  auto get_remainder() const -> std::string_view { return buffer_; }
   // Returns true after an event that exceeds the size limit of 1 MiB. Further
   // bytes are then ignored.
   auto is_overlong() const -> bool { return is_overlong_; }
--- a/main/proxy_session_end.cc
+++ b/main/proxy_session_end.cc
@@ -70,6 +70,7 @@
     if (!answer_->has_begun()) {
       answer_->Begin(platform::MakeCallerHead(response_head_));
     }
+    answer_->Append(event_reader_.get_remainder());  // line ends, if any
     answer_->Finish();
   } else {
     answer_->Respond(platform::MakeCallerHead(response_head_), response_body_);
