An event over the size limit breaks a resumable stream off instead of vanishing

What callers saw: on resumable routes, an event of more than 1 MiB and all that followed it were missing, and the stream was framed as complete.

Cause: sse_reader stops reading after an event over its limit, and the gateway never asked (is_overlong). Change: the attempt ends as invalid, so the stream is resumed or aborted. What may be sent and the sending are functions of their own; the session stays alive while a hook of its attempt cancels that attempt. Ruled out: routes that can't be resumed forward the bytes as they are and had no limit.

--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -401,6 +401,7 @@
 }
 
 auto proxy_session::OnBody(std::string_view bytes) -> void {
+  const auto self = shared_from_this();  // the attempt may be cancelled here
   if (!is_streaming_) {
     response_body_.append(bytes);
     return;
@@ -435,20 +436,23 @@
   last_write_ = now;
 }
 
-auto proxy_session::ForwardEvents(std::string_view bytes) -> void {
-  stream_position_.Follow(bytes);
-  auto events = std::string();
-  if (rule_.retry == retry_policy::resumable) {
-    // Only complete events are forwarded, so that another server can resume the
-    // stream after the last of them.
-    event_reader_.Feed(bytes, [&](const sse_event& event) {
-      events.append(event.raw);
-      if (event.id > 0) {
-        last_event_id_ = std::to_string(event.id);
-      }
-    });
-    bytes = events;
+// Returns the bytes that may be sent to the caller. Only complete events of a
+// resumable stream are, so that another server can resume it after the last.
+auto proxy_session::TakeForwardable(std::string_view bytes) -> std::string {
+  if (rule_.retry != retry_policy::resumable) {
+    return std::string(bytes);
   }
+  auto events = std::string();
+  event_reader_.Feed(bytes, [&](const sse_event& event) {
+    events.append(event.raw);
+    if (event.id > 0) {
+      last_event_id_ = std::to_string(event.id);
+    }
+  });
+  return events;
+}
+
+auto proxy_session::SendToCaller(std::string_view bytes) -> void {
   if (bytes.empty()) {
     return;
   }
@@ -457,10 +461,18 @@
   }
   RecordWrite();
   answer_->Append(bytes);
+}
+
+auto proxy_session::ForwardEvents(std::string_view bytes) -> void {
+  stream_position_.Follow(bytes);
+  SendToCaller(TakeForwardable(bytes));
   if (answer_->GetUnsentBytes() > kMaxUnsentBytes) {
     attempt_->Cancel();
     ReleaseServer();
     AbortStream("caller_does_not_read");
+  } else if (event_reader_.is_overlong()) {
+    attempt_->Cancel();
+    OnAttemptEnd(attempt_outcome::invalid);
   }
 }
 
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -145,6 +145,8 @@
   auto MakeHooks() -> call_hooks;
   auto OnHead(const http_head& head) -> bool;
   auto OnBody(std::string_view bytes) -> void;
+  auto TakeForwardable(std::string_view bytes) -> std::string;
+  auto SendToCaller(std::string_view bytes) -> void;
   auto ForwardEvents(std::string_view bytes) -> void;
   auto RecordWrite() -> void;
   // Returns false if the stream of the latest attempt was broken off.
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -151,6 +151,16 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_event_over_the_size_limit_is_not_skipped) {
+  const auto long_event =
+      "id: 2\ndata: " + std::string(std::size_t{1200} * 1024, 'x') + "\n\n";
+  const auto response = SendScripted(
+      "resume", {MakeFinishedStream(
+                    body_framing::chunked,
+                    "id: 1\ndata: a\n\n" + long_event + "id: 3\ndata: c\n\n")});
+  BOOST_TEST(!response->is_complete);
+}
+
 BOOST_AUTO_TEST_CASE(a_whole_stream_is_complete_in_each_framing) {
   for (const auto* route : {"stream", "resume"}) {
     for (const auto framing : kFramings) {
