Entries: another answer doesn't complete a stream that has started

What callers saw: a stream was cut, its second attempt was answered with something else (a 404, or a 200 that is no stream), and the caller's stream ended framed as complete, without its last event.

Cause: caller_session asked for the last event only if the latest attempt was a stream. Change: once part of a stream was sent, an attempt is complete only with the stream's last event. An engine's 429 or 5xx stays an error that can be retried. Evidence: entry_answers/a_started_stream_is_not_completed_by_another_answer failed for 200 and 404, passes now. a_stream_without_its_last_event.. and a_resumed_stream.. passed before too; mutations last_event_not_needed and another_answer_completes added. Ruled out: a first attempt without its last event was judged rightly.

--- a/main/caller_session.cc
+++ b/main/caller_session.cc
@@ -13,6 +13,8 @@
 constexpr std::size_t kMaxRecordedBytes = 64U << 10;
 constexpr auto kProgressInterval = std::chrono::milliseconds(100);
 constexpr int kStatusOk = 200;
+constexpr int kStatusTooMany = 429;
+constexpr int kStatusServerError = 500;
 
 // Parses `running=N,queued=N`. Returns std::nullopt if a number is missing.
 auto ParseLoad(const std::string& text) -> std::optional<engine_load> {
@@ -145,8 +147,13 @@
       result.end = attempt_end::interrupted;
       break;
   }
-  // A stream is complete only with its final event.
-  const auto is_truncated = is_stream_response_ && !deduplicator_.is_done();
+  // A stream is complete only with its final event. An error that the engine
+  // answers to a resumed attempt stays one, so that it can be retried.
+  const auto is_engine_error =
+      status_ >= kStatusServerError || status_ == kStatusTooMany;
+  const auto is_stream =
+      is_stream_response_ || (has_started_ && !is_engine_error);
+  const auto is_truncated = is_stream && !deduplicator_.is_done();
   const auto is_oversized = body_.size() > kMaxResponseBytes;
   if (result.end == attempt_end::complete && (is_truncated || is_oversized)) {
     result.end = attempt_end::interrupted;
