Entries: a keyed stream that is too long to record is not replayed in part

What callers saw: a request with an idempotency key whose stream was longer than 64 KiB got, on its next try, the events that had fitted, framed as complete and without the last event.

Cause: the record left out what no longer fitted, and was taken for the whole (its size is never over the limit). Change: a stream that outgrows the limit is recorded without a body; the next try is told that it ran and that its response was too long to record, as for plain responses. Ruled out: plain responses compare their whole size. Conclusion: open beside it: an empty recorded body is reported as too long.

--- a/main/caller_session.cc
+++ b/main/caller_session.cc
@@ -94,9 +94,19 @@
                                        {"Cache-Control", "no-store"}});
   }
   exchange_->Write(event.raw);
-  if (parsed_.key != request_key() &&
-      recorded_stream_.size() + event.raw.size() <= kMaxRecordedBytes) {
-    recorded_stream_ += event.raw;
+  if (parsed_.key != request_key()) {
+    Record(event.raw);
+  }
+}
+
+auto caller_session::Record(std::string_view event) -> void {
+  is_too_long_to_record_ =
+      is_too_long_to_record_ ||
+      recorded_stream_.size() + event.size() > kMaxRecordedBytes;
+  if (is_too_long_to_record_) {
+    recorded_stream_.clear();
+  } else {
+    recorded_stream_ += event;
   }
 }
 
--- a/main/caller_session.h
+++ b/main/caller_session.h
@@ -41,11 +41,14 @@
   int status_ = 0;
   std::string content_type_;
   std::string body_;
-  std::string recorded_stream_;  // of a keyed stream, for replays
+  // Events of a keyed stream, for replays. Empty when it is too long.
+  std::string recorded_stream_;
+  bool is_too_long_to_record_ = false;
   std::optional<engine_load> load_;
   mono_time last_progress_;
 
   auto ForwardEvent(const sse_event& event) -> void;
+  auto Record(std::string_view event) -> void;
 
  public:
   caller_session(exchange_pointer exchange,
--- a/tests/entry_answer_test.cc
+++ b/tests/entry_answer_test.cc
@@ -82,6 +82,22 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_recorded_stream_is_whole_or_without_a_body) {
+  constexpr auto kEvents = 100;
+  for (const auto event_bytes : {10U, 1000U}) {
+    auto test = session_under_test("key");
+    auto body = std::string();
+    for (auto i = 0; i < kEvents; ++i) {
+      body += "data: " + std::string(event_bytes, 'x') + "\n\n";
+    }
+    body += kDone;
+    const auto result =
+        test.RunAttempt(1, 200, kEventStream, body, transfer_result::completed);
+    BOOST_TEST((result.end == attempt_end::complete));
+    BOOST_TEST((result.outcome.body.empty() || result.outcome.body == body));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
