Tests: answers that break off, at the entries' two hops

For each framing and end (length, chunks, neither; closed, reset) what libcurl makes of a server's answer, and whether an entry's aborted, dropped or overflowing stream can be told from a finished one by its caller. Ruled out: faults at these hops.

--- a/tests/entry_answer_test.cc
+++ b/tests/entry_answer_test.cc
@@ -1,7 +1,10 @@
 #include <boost/test/unit_test.hpp>
+#include <future>
 
+#include "drivers/event_loop.h"
 #include "drivers/http_client.h"
 #include "drivers/http_server.h"
+#include "drivers/stream_socket.h"
 #include "main/caller_session.h"
 
 namespace ebony::testing {
@@ -42,10 +45,102 @@
   }
 };
 
+// Calls a server that answers with `bytes` and then closes the connection.
+// Returns what the HTTP client makes of it.
+auto GetAnswer(const std::string& bytes, bool resets) -> http_response {
+  auto loop = event_loop();
+  auto sockets = std::vector<std::shared_ptr<stream_socket>>();
+  auto acceptor = stream_acceptor(loop, host_port("127.0.0.1:0"), [&](int fd) {
+    auto hooks = stream_socket::hooks();
+    sockets.push_back(std::make_shared<stream_socket>(loop));
+    hooks.on_bytes = [&, socket = sockets.back()](std::string_view) {
+      socket->Send(bytes);
+      // The client reads what was sent before the connection breaks.
+      loop.AddTimerIn(std::chrono::milliseconds(50), [socket, resets] {
+        resets ? socket->Reset() : socket->CloseGracefully();
+      });
+    };
+    sockets.back()->Adopt(fd, std::move(hooks));
+  });
+  auto client = http_client(4);
+  client.Start();
+  auto call = http_call();
+  call.url = "http://127.0.0.1:" + std::to_string(acceptor.GetPort()) + "/";
+  auto answer = std::async(std::launch::async, [&client, &call] {
+    return CallAndWait(client, call);
+  });
+  RepeatEvery(loop, std::chrono::milliseconds(5), [] {});
+  loop.Run([&answer] {
+    return answer.wait_for(std::chrono::seconds(0)) ==
+           std::future_status::ready;
+  });
+  return answer.get();
+}
+
+// Calls a server whose handler sends a stream with `send`.
+auto GetStream(const std::function<void(const exchange_pointer&)>& send)
+    -> http_response {
+  auto options = http_server_options();
+  options.address = host_port("127.0.0.1:0");
+  auto server = http_server(
+      options, [&send](const http_request&, const exchange_pointer& exchange) {
+        exchange->StartStream(200, kEventStream);
+        exchange->Write(kFirstEvent);
+        send(exchange);
+      });
+  server.Start();
+  auto client = http_client(4);
+  client.Start();
+  auto call = http_call();
+  call.url = "http://127.0.0.1:" + std::to_string(server.get_port()) + "/";
+  return CallAndWait(client, call);
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(entry_answers)
 
+BOOST_AUTO_TEST_CASE(an_answer_whose_framing_breaks_off_is_interrupted) {
+  const auto status = std::string("HTTP/1.1 200 OK\r\n");
+  const auto sized = status + "Content-Length: 9\r\n\r\nhalf";
+  const auto chunked =
+      status + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+  const auto unframed = status + "\r\nhalf";
+  for (const auto& bytes : {sized, chunked, unframed}) {
+    for (const auto resets : {false, true}) {
+      const auto is_orderly = bytes == unframed && !resets;
+      const auto answer = GetAnswer(bytes, resets);
+      BOOST_TEST_CONTEXT(bytes << (resets ? ", reset" : ", closed")) {
+        BOOST_TEST((answer.end == transfer_result::completed) == is_orderly);
+        BOOST_TEST((answer.end == transfer_result::interrupted) != is_orderly);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_aborted_stream_does_not_look_complete) {
+  const auto finished =
+      GetStream([](const exchange_pointer& exchange) { exchange->Finish(); });
+  BOOST_TEST((finished.end == transfer_result::completed));
+  const auto aborted =
+      GetStream([](const exchange_pointer& exchange) { exchange->Abort(); });
+  BOOST_TEST((aborted.end == transfer_result::interrupted));
+  BOOST_TEST(aborted.body == kFirstEvent);
+  const auto dropped =
+      GetStream([](const exchange_pointer& exchange) { exchange->Drop(); });
+  BOOST_TEST((dropped.end == transfer_result::interrupted));
+}
+
+// The caller gets no more than fits into the buffer, and no end of the body.
+BOOST_AUTO_TEST_CASE(a_stream_that_outgrows_its_buffer_is_aborted) {
+  const auto answer = GetStream([](const exchange_pointer& exchange) {
+    exchange->Write(std::string(std::size_t{9} * 1024 * 1024, 'x'));
+    exchange->Write(kDone);
+    exchange->Finish();
+  });
+  BOOST_TEST((answer.end == transfer_result::interrupted));
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_without_its_last_event_is_interrupted) {
   for (const auto* body :
        {"", "data: a\n\n", "data: a\n\ndata: [DONE]\n", "data: a\n\ndata: b"}) {
