Tools don't use an answer that broke off

What operators saw: ebony_burn added a metrics page that had broken off to its report as if it were whole, and ebonyctl printed half a status as the answer of a control VM. Found by reading, not by a complaint.

Cause: CallAndWait returned the status and the part of the body that had come, beside the end that says interrupted; three of its callers looked at the status alone. Change: in the shared mechanism, CallAndWait returns no response unless it is complete. Ruled out: ebonyctl's changes, which looked at the end already. Also: tests/mutations/run.sh takes a pattern of names. Conclusion: no caller has to remember the check.

--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -253,6 +253,11 @@
   client.Call(std::move(call));
   auto lock = std::unique_lock(mutex);
   done.wait(lock, [&] { return is_done; });
+  if (response.end != transfer_result::completed) {
+    response.status = 0;
+    response.headers.clear();
+    response.body.clear();
+  }
   return response;
 }
 
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -96,9 +96,9 @@
   auto Cancel(transfer_id id) -> void;
 };
 
-// Result of CallAndWait.
+// Result of CallAndWait. A response that broke off counts as none.
 struct http_response {
-  int status = 0;  // 0 when there is no response
+  int status = 0;  // 0 when there is no complete response
   header_map headers;
   std::string body;
   transfer_result end = transfer_result::not_sent;
--- a/tests/mutations/run.sh
+++ b/tests/mutations/run.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Mutation test: applies the mutations of list.txt one at a time to a copy of
 # the tree, and checks that the listed test fails for each. Prints
-# `N caught, N missed`.
+# `N caught, N missed`. With an argument, an extended regular expression, only
+# the mutations whose name matches it.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 copy=$(mktemp -d)
@@ -16,6 +17,7 @@
 while IFS= read -r line; do
   [[ $line == \#* || -z $line ]] && continue
   name=$(cut -d'|' -f1 <<<"$line" | trim)
+  [[ $name =~ ${1:-.} ]] || continue
   file=$(cut -d'|' -f2 <<<"$line" | trim)
   test=$(rev <<<"$line" | cut -d'|' -f1 | rev | trim)
   change=$(cut -d'|' -f3- <<<"$line" | rev | cut -d'|' -f2- | rev | trim)
