A resumed run that starts anew is not joined to the first

What callers could see: a stream was cut, the next server ignored the id after which it should go on, and the caller got events twice, framed as complete.

Cause: the gateway trusted that a resumed run goes on after the last event it had sent. Change: an event whose id isn't above the last one sent ends the attempt as invalid; it and what follows are not sent. Ruled out: the entries' path, which compares each repeated event (stream_deduplicator).

--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -325,6 +325,7 @@
   response_body_.clear();
   stream_position_ = {};
   event_reader_.Reset();
+  repeats_events_ = false;
   prefill_tokens_ = static_cast<double>(metadata_.prompt_tokens);
   const auto requests = context_.selector.GetLoad(server_, now).requests;
   found_idle_server_ = requests <= kMaxRequestsOfIdleServer;
@@ -338,8 +339,8 @@
   if (IsEngine()) {
     forward.priority = std::clamp(rule_.priority, 0, 9);
   }
-  if (!last_event_id_.empty()) {
-    forward.resume_after = last_event_id_;
+  if (last_event_id_ > 0) {
+    forward.resume_after = std::to_string(last_event_id_);
   }
   const auto head =
       platform::MakeForwardedHead(call_.head, forward, call_.body.size());
@@ -444,10 +445,13 @@
   }
   auto events = std::string();
   event_reader_.Feed(bytes, [&](const sse_event& event) {
-    events.append(event.raw);
-    if (event.id > 0) {
-      last_event_id_ = std::to_string(event.id);
+    repeats_events_ =
+        repeats_events_ || (event.id > 0 && event.id <= last_event_id_);
+    if (repeats_events_) {
+      return;  // a second run must not be joined to the first
     }
+    events.append(event.raw);
+    last_event_id_ = std::max(last_event_id_, event.id);
   });
   return events;
 }
@@ -470,7 +474,7 @@
     attempt_->Cancel();
     ReleaseServer();
     AbortStream("caller_does_not_read");
-  } else if (event_reader_.is_overlong()) {
+  } else if (event_reader_.is_overlong() || repeats_events_) {
     attempt_->Cancel();
     OnAttemptEnd(attempt_outcome::invalid);
   }
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -113,8 +113,10 @@
   // Forwarding of a stream.
   event_boundary stream_position_;  // of the latest attempt
   sse_reader event_reader_;         // of a resumable stream
-  std::string last_event_id_;       // id of the last event sent to the caller
-  mono_time last_write_;            // when bytes were last sent to the caller
+  // Id of the last event sent to the caller; 0 before the first.
+  std::uint64_t last_event_id_ = 0;
+  bool repeats_events_ = false;  // the latest attempt sent an earlier event
+  mono_time last_write_;         // when bytes were last sent to the caller
   // From the request's arrival to the first bytes sent to the caller.
   duration first_event_delay_{0};
   duration longest_gap_{0};  // between consecutive writes to the caller
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -133,6 +133,20 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_resumed_stream_that_starts_anew_is_not_joined) {
+  const auto first =
+      server_script{{MakeStream(body_framing::chunked,
+                                "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")},
+                    ending::reset};
+  for (const auto* second : {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+                             "id: 2\ndata: b\n\nid: 3\ndata: c\n\n"}) {
+    const auto response = SendScripted(
+        "resume", {first, MakeFinishedStream(body_framing::chunked, second)});
+    BOOST_TEST(!response->is_complete);
+    BOOST_TEST(response->body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_whose_framing_breaks_off_is_not_complete) {
   const auto body = std::string("id: 1\ndata: a\n\n");
   for (const auto* route : {"stream", "resume"}) {
