--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -67,7 +67,8 @@
       service_(service),
       call_(std::move(call)),
       answer_(std::move(answer)),
-      metadata_(std::move(metadata)) {
+      metadata_(std::move(metadata)),
+      stream_(rule.retry == retry_policy::resumable) {
   const auto limit =
       std::min(rule_.time_limit, metadata_.deadline.value_or(rule_.time_limit));
   deadline_ = call_.received_at + limit;
@@ -323,9 +324,7 @@
   response_head_ = http_head();
   server_answer_ = server_answer();
   response_body_.clear();
-  stream_position_ = {};
-  event_reader_.Reset();
-  repeats_events_ = false;
+  stream_.StartRun();
   prefill_tokens_ = static_cast<double>(metadata_.prompt_tokens);
   const auto requests = context_.selector.GetLoad(server_, now).requests;
   found_idle_server_ = requests <= kMaxRequestsOfIdleServer;
@@ -339,8 +338,8 @@
   if (IsEngine()) {
     forward.priority = std::clamp(rule_.priority, 0, 9);
   }
-  if (last_event_id_ > 0) {
-    forward.resume_after = std::to_string(last_event_id_);
+  if (const auto last = stream_.get_last_event_id(); last > 0) {
+    forward.resume_after = std::to_string(last);
   }
   const auto head =
       platform::MakeForwardedHead(call_.head, forward, call_.body.size());
@@ -437,25 +436,6 @@
   last_write_ = now;
 }
 
-// Returns the bytes that may be sent to the caller. Only complete events of a
-// resumable stream are, so that another server can resume it after the last.
-auto proxy_session::TakeForwardable(std::string_view bytes) -> std::string {
-  if (rule_.retry != retry_policy::resumable) {
-    return std::string(bytes);
-  }
-  auto events = std::string();
-  event_reader_.Feed(bytes, [&](const sse_event& event) {
-    repeats_events_ =
-        repeats_events_ || (event.id > 0 && event.id <= last_event_id_);
-    if (repeats_events_) {
-      return;  // a second run must not be joined to the first
-    }
-    events.append(event.raw);
-    last_event_id_ = std::max(last_event_id_, event.id);
-  });
-  return events;
-}
-
 auto proxy_session::SendToCaller(std::string_view bytes) -> void {
   if (bytes.empty()) {
     return;
@@ -468,26 +448,17 @@
 }
 
 auto proxy_session::ForwardEvents(std::string_view bytes) -> void {
-  stream_position_.Follow(bytes);
-  SendToCaller(TakeForwardable(bytes));
+  SendToCaller(stream_.Feed(bytes));
   if (answer_->GetUnsentBytes() > kMaxUnsentBytes) {
     attempt_->Cancel();
     ReleaseServer();
     AbortStream("caller_does_not_read");
-  } else if (event_reader_.is_overlong() || repeats_events_) {
+  } else if (stream_.IsUnusable()) {
     attempt_->Cancel();
     OnAttemptEnd(attempt_outcome::invalid);
   }
 }
 
-// A framing that ends does not prove that the server had finished: one that
-// breaks off may close its connection in an orderly way.
-auto proxy_session::IsStreamWhole() const -> bool {
-  const auto is_framed = response_head_.framing != body_framing::at_close;
-  return !stream_position_.is_inside_event() &&
-         (is_framed || stream_position_.get_events() > 0);
-}
-
 auto proxy_session::OnComplete() -> void {
   if (server_answer_.not_run) {
     OnAttemptEnd(attempt_outcome::not_run);
@@ -499,7 +470,8 @@
     OnAttemptEnd(attempt_outcome::invalid);
     return;
   }
-  if (is_streaming_ && !IsStreamWhole()) {
+  const auto has_framing = response_head_.framing != body_framing::at_close;
+  if (is_streaming_ && !stream_.IsWhole(has_framing)) {
     context_.counters.Count("ebony_truncated_streams_total");
     OnAttemptEnd(attempt_outcome::truncated);
     return;
@@ -602,9 +574,9 @@
          {"end", std::string(GetAttemptOutcomeText(outcome))},
          {"status", static_cast<std::int64_t>(server_answer_.status)},
          {"framing", std::string(GetBodyFramingText(response_head_.framing))},
-         {"events", static_cast<std::int64_t>(stream_position_.get_events())},
+         {"events", static_cast<std::int64_t>(stream_.get_events())},
          {"partial_bytes",
-          static_cast<std::int64_t>(stream_position_.get_partial_bytes())},
+          static_cast<std::int64_t>(stream_.get_partial_bytes())},
          {"took_ms", duration(now - sent_at_)},
          {"next", std::string(GetAttemptActionText(action))}});
   }
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -17,12 +17,11 @@
 #include "drivers/http_listener.h"
 #include "drivers/http_pool.h"
 #include "entry/attempt_policy.h"
-#include "entry/event_boundary.h"
 #include "entry/pending_queue.h"
 #include "entry/retry_allowance.h"
 #include "entry/route_table.h"
 #include "entry/server_selector.h"
-#include "entry/sse_reader.h"
+#include "entry/stream_assembler.h"
 #include "entry/wait_estimator.h"
 
 namespace ebony {
@@ -111,12 +110,8 @@
   std::optional<buffered_response> error_response_;
 
   // Forwarding of a stream.
-  event_boundary stream_position_;  // of the latest attempt
-  sse_reader event_reader_;         // of a resumable stream
-  // Id of the last event sent to the caller; 0 before the first.
-  std::uint64_t last_event_id_ = 0;
-  bool repeats_events_ = false;  // the latest attempt sent an earlier event
-  mono_time last_write_;         // when bytes were last sent to the caller
+  stream_assembler stream_;
+  mono_time last_write_;  // when bytes were last sent to the caller
   // From the request's arrival to the first bytes sent to the caller.
   duration first_event_delay_{0};
   duration longest_gap_{0};  // between consecutive writes to the caller
@@ -147,12 +142,9 @@
   auto MakeHooks() -> call_hooks;
   auto OnHead(const http_head& head) -> bool;
   auto OnBody(std::string_view bytes) -> void;
-  auto TakeForwardable(std::string_view bytes) -> std::string;
   auto SendToCaller(std::string_view bytes) -> void;
   auto ForwardEvents(std::string_view bytes) -> void;
   auto RecordWrite() -> void;
-  // Returns false if the stream of the latest attempt was broken off.
-  auto IsStreamWhole() const -> bool;
   auto OnComplete() -> void;
   auto MayRetry(attempt_outcome outcome) -> bool;
   auto OnAttemptEnd(attempt_outcome outcome) -> void;
--- a/main/proxy_session_end.cc
+++ b/main/proxy_session_end.cc
@@ -70,7 +70,7 @@
     if (!answer_->has_begun()) {
       answer_->Begin(platform::MakeCallerHead(response_head_));
     }
-    answer_->Append(event_reader_.get_remainder());  // line ends, if any
+    answer_->Append(stream_.get_remainder());  // line ends, if any
     answer_->Finish();
   } else {
     answer_->Respond(platform::MakeCallerHead(response_head_), response_body_);
@@ -155,9 +155,9 @@
        {"config",
         static_cast<std::int64_t>(route_table_->get_config().number.get())},
        {"framing", std::string(GetBodyFramingText(response_head_.framing))},
-       {"events", static_cast<std::int64_t>(stream_position_.get_events())},
+       {"events", static_cast<std::int64_t>(stream_.get_events())},
        {"partial_bytes",
-        static_cast<std::int64_t>(stream_position_.get_partial_bytes())},
+        static_cast<std::int64_t>(stream_.get_partial_bytes())},
        {"first_ms", first_event_delay_},
        {"pause_ms", longest_gap_},
        {"took_ms", duration(took)}});
