Soak: servers break some streams off inside an event

Change: three of sixteen streams, chosen by their id, end inside an event, with an orderly last chunk, without one, or before their first whole event. The check is the one that stood: a complete answer is the whole answer. Ruled out: no other check was touched; draws of the faults are as before. Conclusion: an answer without any framing is in the unit tests only.

--- a/tests/soak/soak_site.cc
+++ b/tests/soak/soak_site.cc
@@ -63,6 +63,29 @@
   return hooks;
 }
 
+// Sends two events. Some streams, always the same for an id, break off inside
+// an event: with or without an orderly end of the framing.
+auto SendStream(const response_pointer& answer,
+                const http_head& head,
+                const std::string& id) -> void {
+  constexpr std::size_t kKinds = 16;
+  const auto kind = std::hash<std::string>()(id) % kKinds;
+  answer->Begin(head);
+  if (kind > 0) {
+    answer->Append("id: 1\ndata: " + id + "\n\n");
+  }
+  if (kind <= 2) {
+    answer->Append("id: 2\nda");
+  } else {
+    answer->Append("id: 2\ndata: end\n\n");
+  }
+  if (kind == 1) {
+    answer->Abort();
+  } else {
+    answer->Finish();
+  }
+}
+
 auto GetRedirect(const http_head& head) -> host_port {
   const auto* location = head.Find("Location");
   const auto prefix = std::string("http://");
@@ -268,14 +291,11 @@
   const auto is_stream = call.head.target.rfind("/streaming/", 0) == 0;
   const auto delay = milliseconds(2 + PickRandom(30));
   loop_.AddTimerIn(delay, [head, answer, id, is_stream] {
-    if (!is_stream) {
+    if (is_stream) {
+      SendStream(answer, head, id);
+    } else {
       answer->Respond(head, "body-" + id);
-      return;
     }
-    answer->Begin(head);
-    answer->Append("id: 1\ndata: " + id + "\n\n");
-    answer->Append("id: 2\ndata: end\n\n");
-    answer->Finish();
   });
 }
 
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -38,7 +38,8 @@
 // Runs coordinators and gateways as processes on loopback addresses. Simulated
 // backend servers, callers and an operator in this process check the guarantees
 // from outside: requests that are not idempotent run at most once, rejected
-// requests do not run, each answer is complete and belongs to its request, and
+// requests do not run, each answer is complete and belongs to its request (the
+// servers break some streams off), and
 // an acknowledged configuration is neither lost nor followed by an older read.
 class soak_site {
   event_loop loop_;
