--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -193,6 +193,20 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_that_the_gateway_ends_is_not_complete) {
+  const auto script = server_script{
+      {MakeStream(body_framing::chunked, "id: 1\ndata: a\n\n")}, ending::hang};
+  for (const auto* route : {"stream", "resume"}) {
+    auto at_deadline = gateway_harness(1);
+    at_deadline.AddCommonScript(script);
+    const auto late = at_deadline.Send(
+        MakeRequest(route, "id-1", "Ebonythread-Deadline-Ms: 200\r\n"));
+    at_deadline.RunUntil([&] { return IsOver(late); });
+    BOOST_TEST(late->status == 200);
+    BOOST_TEST(!late->is_complete);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_of_another_type_than_events_is_not_lost) {
   for (const auto* route : {"stream", "resume"}) {
     auto script = server_script();
