--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -395,7 +395,8 @@
   }
   response_head_ = head;
   server_answer_ = decoded;
-  is_streaming_ = rule_.is_stream && head.status == kOk && decoded.is_signed &&
+  is_streaming_ = rule_.is_stream && call_.head.method != "HEAD" &&
+                  head.status == kOk && decoded.is_signed &&
                   !decoded.has_content_encoding && decoded.is_event_stream;
   return true;
 }
@@ -479,6 +480,12 @@
   OnAttemptEnd(attempt_outcome::complete);
 }
 
+auto proxy_session::GetFramingText() const -> std::string {
+  return response_head_.status == 0
+             ? "none"
+             : std::string(GetBodyFramingText(response_head_.framing));
+}
+
 auto proxy_session::RecordServiceTime() -> void {
   if (!IsEngine() || !found_free_slots_ || response_head_.status == 0 ||
       server_answer_.not_run) {
@@ -573,7 +580,7 @@
          {"backend", server_.get()},
          {"end", std::string(GetAttemptOutcomeText(outcome))},
          {"status", static_cast<std::int64_t>(server_answer_.status)},
-         {"framing", std::string(GetBodyFramingText(response_head_.framing))},
+         {"framing", GetFramingText()},
          {"events", static_cast<std::int64_t>(stream_.get_events())},
          {"partial_bytes",
           static_cast<std::int64_t>(stream_.get_partial_bytes())},
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -146,6 +146,9 @@
   auto ForwardEvents(std::string_view bytes) -> void;
   auto RecordWrite() -> void;
   auto OnComplete() -> void;
+  // Returns how the latest attempt's answer was framed, for log lines; "none"
+  // before its header.
+  auto GetFramingText() const -> std::string;
   auto MayRetry(attempt_outcome outcome) -> bool;
   auto OnAttemptEnd(attempt_outcome outcome) -> void;
   auto ReleaseServer() -> void;
--- a/main/proxy_session_end.cc
+++ b/main/proxy_session_end.cc
@@ -154,7 +154,7 @@
        {"attempts", static_cast<std::int64_t>(attempts_)},
        {"config",
         static_cast<std::int64_t>(route_table_->get_config().number.get())},
-       {"framing", std::string(GetBodyFramingText(response_head_.framing))},
+       {"framing", GetFramingText()},
        {"events", static_cast<std::int64_t>(stream_.get_events())},
        {"partial_bytes",
         static_cast<std::int64_t>(stream_.get_partial_bytes())},
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -207,6 +207,20 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_to_head_on_a_stream_route_is_complete) {
+  for (const auto* route : {"stream", "resume"}) {
+    auto harness = gateway_harness(1);
+    harness.AddCommonScript({{MakeStream(body_framing::at_close, {})}});
+    auto request = MakeRequest(route, "id-1");
+    request.replace(0, 3, "HEAD");
+    const auto response = harness.Send(request);
+    harness.RunUntil([&] { return IsOver(response); });
+    BOOST_TEST(response->is_complete);
+    BOOST_TEST(response->status == 200);
+    BOOST_TEST(response->head.Find("Transfer-Encoding") == nullptr);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_of_another_type_than_events_is_not_lost) {
   for (const auto* route : {"stream", "resume"}) {
     auto script = server_script();
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -228,6 +228,20 @@
   BOOST_TEST(DecodeServerAnswer(head).backend.get() == "i-2");
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_is_known_by_its_type) {
+  auto head = http_head();
+  BOOST_TEST(DecodeServerAnswer(head).is_event_stream);
+  for (const auto* type : {"text/event-stream", "Text/Event-Stream",
+                           "text/event-stream; charset=utf-8"}) {
+    head.fields = {{"Content-Type", type}};
+    BOOST_TEST(DecodeServerAnswer(head).is_event_stream, type);
+  }
+  for (const auto* type : {"text/plain", "text/event-streams", ""}) {
+    head.fields = {{"Content-Type", type}};
+    BOOST_TEST(!DecodeServerAnswer(head).is_event_stream, type);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(forwarded_answers_keep_status_and_signature) {
   auto head = http_head();
   head.status = 500;
