--- a/entry/entry_directory.cc
+++ b/entry/entry_directory.cc
@@ -57,8 +57,8 @@
   }
   // No peer is known to serve, for example just after a start. List all peers
   // except those that reported that they are draining or not serving, and as a
-  // last resort all peers. An entry that has not reported its own state has just
-  // started and does not serve yet.
+  // last resort all peers. An entry that has not reported its own state has
+  // just started and does not serve yet.
   for (const auto& [vm, peer] : peers_) {
     if (vm == self_ && !peer.has_reported) {
       continue;
