Gateways log and count the limits that servers name

The logs could not tell whether an answer named a limit, nor which gateway had been told. Now limit_named (backend, per_1000_s, former) when it changes, limit_unreadable, the limit in force in each sent line, and the counters ebony_limit_changes_total and ebony_unreadable_limits_total.

--- /dev/null
+++ b/core/request_limit.cc
@@ -0,0 +1,14 @@
+#include "core/request_limit.h"
+
+#include <algorithm>
+
+namespace ebony {
+
+auto GetRequestInterval(request_rate rate) -> duration {
+  constexpr duration kThousandSeconds = std::chrono::seconds(1000);
+  constexpr std::uint64_t kMinRate = 100;
+  return kThousandSeconds /
+         static_cast<duration::rep>(std::max(rate.get(), kMinRate));
+}
+
+}  // namespace ebony
--- /dev/null
+++ b/core/request_limit.h
@@ -0,0 +1,28 @@
+#ifndef EBONY_CORE_REQUEST_LIMIT_H_
+#define EBONY_CORE_REQUEST_LIMIT_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "core/ids.h"
+
+namespace ebony {
+
+// Requests per 1,000 seconds.
+using request_rate = strong_type<struct request_rate_tag, std::uint64_t>;
+
+// What a backend server said last about the rate of requests that it accepts
+// from all gateways together.
+struct request_limit {
+  std::optional<request_rate> rate;  // std::nullopt: any rate
+  mono_time observed;                // arrival of the answer that said so
+};
+
+// Returns the mean time between two requests at `rate`. A rate below one
+// request in 10 s counts as that much: only an answer shows that a limit is
+// over.
+auto GetRequestInterval(request_rate rate) -> duration;
+
+}  // namespace ebony
+
+#endif  // EBONY_CORE_REQUEST_LIMIT_H_
--- a/core/request_metadata.h
+++ b/core/request_metadata.h
@@ -8,6 +8,7 @@
 
 #include "core/domain.h"
 #include "core/ids.h"
+#include "core/request_limit.h"
 
 namespace ebony {
 
@@ -46,6 +47,9 @@
   // The body is a stream of events, or its type is not stated.
   bool is_event_stream = false;
   backend_name backend;  // the server that answered; empty when not stated
+  // Limit of the requests of all gateways together; absent when none is stated.
+  std::optional<request_rate> limit;
+  bool has_unreadable_limit = false;  // a limit is stated but malformed
 };
 
 }  // namespace ebony
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -85,6 +85,7 @@
       pending_,
       waits_,
       demand_,
+      limits_,
       first_events_,
       [this](std::uint64_t bound) { return random_() % bound; },
       [this] { link_.SyncSoon(); },
--- a/main/gateway_daemon.h
+++ b/main/gateway_daemon.h
@@ -39,6 +39,7 @@
   pending_queue<proxy_session> pending_;
   wait_estimator waits_;
   std::map<demand_key, demand_count> demand_;
+  std::map<backend_name, request_limit> limits_;
   first_event_sums first_events_;  // since the latest sync
   route_table_pointer route_table_;
   incarnation incarnation_;
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -34,6 +34,11 @@
 constexpr int kOk = 200;
 constexpr int kFirstNonSuccess = 300;  // lowest status that is not a success
 
+// Value of a rate in log lines; -1 stands for no limit.
+auto GetRateField(const std::optional<request_rate>& rate) -> std::int64_t {
+  return rate ? static_cast<std::int64_t>(rate->get()) : -1;
+}
+
 }  // namespace
 
 proxy_session::proxy_session(proxy_context& context,
@@ -155,6 +160,7 @@
        {"attempt", static_cast<std::int64_t>(attempts_)},
        {"load", static_cast<std::int64_t>(
                     context_.selector.GetLoad(server_, now).requests)},
+       {"limit", GetRateField(context_.limits[server_].rate)},
        {"left_ms", forward.time_left}});
   attempt_ = context_.pool.Start(
       server.address, RenderRequestHead(head).append(call_.body),
@@ -193,12 +199,44 @@
   }
   response_head_ = head;
   server_answer_ = decoded;
+  RecordLimit(decoded);
   is_streaming_ = rule_.is_stream && call_.head.method != "HEAD" &&
                   head.status == kOk && decoded.is_signed &&
                   !decoded.has_content_encoding && decoded.is_event_stream;
   return true;
 }
 
+// Only a success ends a limit: errors may come from a part of the server that
+// does not know of it.
+auto proxy_session::RecordLimit(const server_answer& answer) -> void {
+  const auto is_other_server =
+      answer.backend != backend_name() && answer.backend != server_;
+  const auto is_success = answer.is_signed && answer.status < kFirstNonSuccess;
+  if (is_other_server) {
+    return;
+  }
+  if (answer.has_unreadable_limit) {
+    context_.counters.Count("ebony_unreadable_limits_total");
+    context_.log.Write(
+        event_category::request, "limit_unreadable",
+        {{"request", metadata_.id.get()}, {"backend", server_.get()}});
+    return;
+  }
+  if (!answer.limit && !is_success) {
+    return;
+  }
+  auto& known = context_.limits[server_];
+  if (known.rate != answer.limit) {
+    context_.counters.Count("ebony_limit_changes_total");
+    context_.log.Write(event_category::state, "limit_named",
+                       {{"request", metadata_.id.get()},
+                        {"backend", server_.get()},
+                        {"per_1000_s", GetRateField(answer.limit)},
+                        {"former", GetRateField(known.rate)}});
+  }
+  known = {answer.limit, context_.loop.get_now()};
+}
+
 auto proxy_session::OnBody(std::string_view bytes) -> void {
   const auto self = shared_from_this();  // the attempt may be cancelled here
   if (!is_streaming_) {
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -49,6 +49,8 @@
   pending_queue<proxy_session>& pending;
   wait_estimator& waits;
   std::map<demand_key, demand_count>& demand;
+  // Latest limit that each server named, for log lines.
+  std::map<backend_name, request_limit>& limits;
   first_event_sums& first_events;
   // Returns a random number in [0, bound).
   std::function<std::uint64_t(std::uint64_t)> random;
@@ -141,6 +143,8 @@
   auto Dispatch(const backend_status& server) -> void;
   auto MakeHooks() -> call_hooks;
   auto OnHead(const http_head& head) -> bool;
+  // Records what an answer says of the server's limit of requests.
+  auto RecordLimit(const server_answer& answer) -> void;
   auto OnBody(std::string_view bytes) -> void;
   auto SendToCaller(std::string_view bytes) -> void;
   auto ForwardEvents(std::string_view bytes) -> void;
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -242,6 +242,25 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_limit_is_a_decimal_number_of_requests_a_second) {
+  const auto decode = [](const std::string& text) {
+    auto head = http_head();
+    head.fields = {{"server-limit", text}};
+    return DecodeServerAnswer(head);
+  };
+  BOOST_TEST(decode("1.6").limit->get() == 1600U);
+  BOOST_TEST(decode("12").limit->get() == 12000U);
+  BOOST_TEST(decode("0").limit->get() == 0U);
+  BOOST_TEST(!decode("1.6").has_unreadable_limit);
+  for (const auto* text :
+       {"", "-1", "1.6/s", "1,6", "nan", "inf", "1e3", " 2", "99999999999"}) {
+    BOOST_TEST(!decode(text).limit.has_value(), text);
+    BOOST_TEST(decode(text).has_unreadable_limit, text);
+  }
+  BOOST_TEST(!DecodeServerAnswer(http_head()).limit.has_value());
+  BOOST_TEST(!DecodeServerAnswer(http_head()).has_unreadable_limit);
+}
+
 BOOST_AUTO_TEST_CASE(forwarded_answers_keep_status_and_signature) {
   auto head = http_head();
   head.status = 500;
