Gateways log the software version of servers and which stream a request takes up

The logs could not tell the version of a server's software, nor that a request goes on with an earlier one's stream. A version that is no text makes an announcement another writer's.

--- a/codec/site_codec.cc
+++ b/codec/site_codec.cc
@@ -124,6 +124,7 @@
   row.set_service(status.service.get());
   row.set_address(status.address.get());
   row.set_data_centre(status.data_centre.get());
+  row.set_software(status.software.get());
   row.set_slots(status.slots);
   row.set_leaving(status.is_leaving);
   row.set_sequence(status.sequence);
@@ -159,6 +160,7 @@
   status.service = service_name(row.service());
   status.address = host_port(row.address());
   status.data_centre = data_centre_name(row.data_centre());
+  status.software = software_version(row.software());
   status.slots = row.slots();
   status.is_leaving = row.leaving();
   status.sequence = row.sequence();
--- a/core/ids.h
+++ b/core/ids.h
@@ -18,6 +18,8 @@
 using model_name = strong_type<struct model_tag, std::string>;
 using adapter_name = strong_type<struct adapter_tag, std::string>;
 using version_name = strong_type<struct version_tag, std::string>;
+// Version of a backend server's software, not of a model's weights.
+using software_version = strong_type<struct software_tag, std::string>;
 using service_name = strong_type<struct service_tag, std::string>;
 using host_port = strong_type<struct host_port_tag, std::string>;
 using request_key = strong_type<struct request_key_tag, std::string>;
--- a/core/site_config.h
+++ b/core/site_config.h
@@ -110,6 +110,7 @@
   service_name service;
   host_port address;
   data_centre_name data_centre;
+  software_version software;
   std::uint32_t slots = 1;     // requests executed at once
   bool is_leaving = false;     // draining: takes no new requests
   std::uint64_t sequence = 0;  // orders the announcements of one start
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -162,6 +162,9 @@
        {"route", rule_.name.get()},
        {"model", metadata_.model.get()},
        {"backend", server_.get()},
+       {"software", server.software.get()},
+       {"resumes", metadata_.resumes.value_or(caller_request_id()).get()},
+       {"after", static_cast<std::int64_t>(stream_.get_last_event_id())},
        {"attempt", static_cast<std::int64_t>(attempts_)},
        {"load", static_cast<std::int64_t>(
                     context_.selector.GetLoad(server_, now).requests)},
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -145,6 +145,7 @@
       DecodeControlCall(MakeCall("PUT", "/api/instances/i-1"), kAnnouncement));
   BOOST_TEST(call.status.id.get() == "i-1");
   BOOST_TEST(call.status.start_time_ms == 1700U);
+  BOOST_TEST(call.status.software.get() == "v1");
   BOOST_TEST(call.status.sequence == 4U);
   BOOST_TEST(!call.status.is_leaving);
   BOOST_TEST(call.status.models.at(0).adapters.at(0).get() == "a1");
@@ -164,6 +165,7 @@
   BOOST_TEST(
       IsAnnouncementRejected(ReplaceAll(good, "\"seq\":4", "\"seq\":\"4\"")));
   BOOST_TEST(IsAnnouncementRejected(ReplaceAll(good, "1700", "1700.5")));
+  BOOST_TEST(IsAnnouncementRejected(ReplaceAll(good, "\"v1\"", "1")));
   BOOST_TEST(
       IsAnnouncementRejected(ReplaceAll(good, "\"slots\":64", "\"slots\":[]")));
   BOOST_TEST(
@@ -173,6 +175,17 @@
   BOOST_TEST(IsAnnouncementRejected(""));
 }
 
+BOOST_AUTO_TEST_CASE(a_caller_may_take_up_a_stream) {
+  auto head = MakeCall("POST", "/a/");
+  BOOST_TEST(!DecodeCallerRequest(head).last_event_id.has_value());
+  BOOST_TEST(!DecodeCallerRequest(head).resumes.has_value());
+  head.fields = {{"Last-Event-Id", "12"}, {"Resumes", "9c41"}};
+  BOOST_TEST(*DecodeCallerRequest(head).last_event_id == 12U);
+  BOOST_TEST(DecodeCallerRequest(head).resumes->get() == "9c41");
+  head.fields = {{"Last-Event-Id", "x"}};
+  BOOST_TEST(!DecodeCallerRequest(head).last_event_id.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(requests_are_forwarded_without_system_fields) {
   auto caller = MakeCall("POST", "/a/b?q=1");
   caller.fields = {{"Host", "h:80"},
