--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -223,6 +223,7 @@
     status.id = backend_name(servers.back()->id);
     status.service = service_name("s");
     status.address = servers.back()->GetAddress();
+    status.software = software_version("v1");
     status.slots = 8;
     status.start_time_ms = 1;
     status.sequence = ++sequence_;
@@ -305,6 +306,13 @@
   registry_.ObserveLimit(id, start, {rate, loop_.get_now()});
 }
 
+auto gateway_harness::SetSoftware(std::size_t server,
+                                  const std::string& version) -> void {
+  UpdateBackend(server, [&version](backend_status& status) {
+    status.software = software_version(version);
+  });
+}
+
 auto gateway_harness::RestartServer(std::size_t server) -> void {
   UpdateBackend(server, [](backend_status& status) { ++status.start_time_ms; });
 }
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -127,6 +127,8 @@
   auto SetLeaving(std::size_t server) -> void;
   // The coordinator knows from elsewhere that a server limits its requests.
   auto SetLimit(std::size_t server, request_rate rate) -> void;
+  // The server runs another version of its software. All run "v1" at first.
+  auto SetSoftware(std::size_t server, const std::string& version) -> void;
   // The server starts again under its name.
   auto RestartServer(std::size_t server) -> void;
   // Moves a server to the engine service `e` with these models loaded.
