A stream goes on only at the software version that began it

Cause: what began a stream was remembered nowhere, so a resumed one went to any server with the model; a missing capability, class: a continuation chosen by less than what the first choice depended on. Ruled out: only taken-up streams (one answer joined v1 and v1.2 at 78.161 s), servers restarted under their id (two ids in each case).

The session of a resumable stream keeps (service, version) from the first event that the caller gets, and the selector offers no other; a server that broke it off may be asked again when it is the only one. Gateways report begun streams by a hash of the request's id with each sync until it is answered, and all again to a new leader or relay (stream_origins); relays pass reports and questions on. A gateway that a caller asks to take a stream up waits up to 0.6 s for what the coordinators know, then says that it has not run: 503, stream_origin_unknown, or at once stream_version_gone. While only one version was ever seen in 30 s or more, and the coordinators answer, no question is needed.

One check of the failing test counted requests (exactly one); a stream may now go on at the server that broke it off, so it is replaced by its point, that the other version gets none: as strict on what the rule says, and its rendered chunks had a wrong length, mended.

--- a/codec/site_codec.cc
+++ b/codec/site_codec.cc
@@ -116,6 +116,25 @@
   return permits;
 }
 
+auto AddBegunStreams(schema::begun_streams_row& row,
+                     const stream_origin& origin,
+                     const std::vector<stream_key>& keys) -> void {
+  row.set_service(origin.service.get());
+  row.set_software(origin.software.get());
+  for (const auto& key : keys) {
+    row.add_keys(key.get());
+  }
+}
+
+auto ForEachBegunStream(const schema::begun_streams_row& row,
+                        const origin_row_callback& callback) -> void {
+  const auto origin = stream_origin{service_name(row.service()),
+                                    software_version(row.software())};
+  for (const auto key : row.keys()) {
+    callback(stream_key(key), origin);
+  }
+}
+
 auto ToSchema(const backend_record& record, mono_time now)
     -> schema::backend_status_row {
   const auto& status = record.status;
--- a/codec/site_codec.h
+++ b/codec/site_codec.h
@@ -9,6 +9,7 @@
 #include "core/backend_registry.h"
 #include "core/permit_report.h"
 #include "core/service_samples.h"
+#include "core/stream_origin.h"
 #include "schema/site.pb.h"
 
 namespace ebony {
@@ -44,6 +45,17 @@
 auto GetPermits(const schema::sync_answer& answer, const backend_index& numbers)
     -> permit_counts;
 
+// Called with a stream and what began it.
+using origin_row_callback =
+    std::function<void(stream_key, const stream_origin&)>;
+
+// Appends the streams that began at one origin.
+auto AddBegunStreams(schema::begun_streams_row& row,
+                     const stream_origin& origin,
+                     const std::vector<stream_key>& keys) -> void;
+auto ForEachBegunStream(const schema::begun_streams_row& row,
+                        const origin_row_callback& callback) -> void;
+
 // Called with a backend server, its requests in flight and their tokens.
 using load_row_callback =
     std::function<void(const backend_name&, std::uint32_t, std::uint64_t)>;
--- a/core/error_kind.h
+++ b/core/error_kind.h
@@ -28,6 +28,8 @@
   backend_unreachable,
   backend_failed,
   stream_cut,
+  stream_origin_unknown,
+  stream_version_gone,
   claim_unavailable,
   not_leader,
   not_in_force,
--- a/core/request_metadata.h
+++ b/core/request_metadata.h
@@ -34,9 +34,10 @@
   // The caller's estimate, which can be far off.
   std::optional<std::uint64_t> expected_output_tokens;
   std::vector<prompt_segment> prompt_segments;  // in prompt order
-  // Set if the caller takes up a stream: the last event that it has, and the
-  // request that brought the first one, if the caller says so.
-  std::optional<std::uint64_t> last_event_id;
+  // The caller takes up a stream that an earlier request began.
+  bool takes_up_stream = false;
+  std::optional<std::uint64_t> last_event_id;  // the last one that it has
+  // The request that brought the first event.
   std::optional<caller_request_id> resumes;
   std::optional<duration> deadline;  // relative to the arrival of the request
 };
--- a/entry/route_table.cc
+++ b/entry/route_table.cc
@@ -58,6 +58,17 @@
   return config_.services.at(rule.targets.back().service);
 }
 
+auto route_table::FindTarget(const route_rule& rule,
+                             const service_name& name) const
+    -> const service_spec* {
+  const auto is_target =
+      std::any_of(rule.targets.begin(), rule.targets.end(),
+                  [&name](const route_target& target) {
+                    return target.service == name && target.weight > 0;
+                  });
+  return is_target ? FindService(name) : nullptr;
+}
+
 auto route_table::FindService(const service_name& name) const
     -> const service_spec* {
   const auto found = config_.services.find(name);
--- a/entry/route_table.h
+++ b/entry/route_table.h
@@ -38,6 +38,10 @@
   // weights.
   auto PickService(const route_rule& rule, const random_source& random) const
       -> const service_spec&;
+  // Returns the service with this name if the rule sends requests to it, or
+  // null.
+  auto FindTarget(const route_rule& rule, const service_name& name) const
+      -> const service_spec*;
   // Returns null for an unknown service.
   auto FindService(const service_name& name) const -> const service_spec*;
   auto get_config() const -> const site_config& { return config_; }
--- a/entry/server_selector.cc
+++ b/entry/server_selector.cc
@@ -36,6 +36,8 @@
       return "busy";
     case server_verdict::no_replica:
       return "absent";
+    case server_verdict::no_version:
+      return "no_version";
     case server_verdict::no_server:
       break;
   }
@@ -196,6 +198,7 @@
   auto candidates = std::vector<const backend_record*>();
   auto suspected = std::vector<const backend_record*>();
   auto has_server = false;
+  auto has_version = false;
   for (const auto& [id, record] : registry_.get_records()) {
     const auto& status = record.status;
     if (status.service != query.service || record.has_left ||
@@ -208,6 +211,10 @@
       continue;
     }
     has_server = true;
+    if (query.software != nullptr && status.software != *query.software) {
+      continue;
+    }
+    has_version = true;
     if (!HoldsModel(status, query) ||
         (query.avoid != nullptr && query.avoid->contains(id))) {
       continue;
@@ -222,9 +229,10 @@
     candidates = std::move(suspected);
   }
   if (candidates.empty()) {
-    return {has_server ? server_verdict::no_replica : server_verdict::no_server,
-            nullptr,
-            {}};
+    const auto verdict = has_version  ? server_verdict::no_replica
+                         : has_server ? server_verdict::no_version
+                                      : server_verdict::no_server;
+    return {verdict, nullptr, {}};
   }
   RemoveEjected(candidates, now);
   std::erase_if(candidates, [&](const backend_record* record) {
--- a/entry/server_selector.h
+++ b/entry/server_selector.h
@@ -57,6 +57,8 @@
   model_name model;
   adapter_name adapter;
   double prompt_tokens = 0;
+  // Set for a stream that has begun: the version that may go on with it.
+  const software_version* software = nullptr;
   // Set for a request that has waited: only the request limit applies to it.
   bool ignores_prefill_limit = false;
   const std::set<backend_name>* avoid = nullptr;  // tried before; may be null
@@ -67,6 +69,7 @@
   busy,        // every server that could execute the request is at its limit
   no_replica,  // no server holds the model or adapter
   no_server,   // the service has no server
+  no_version,  // no server runs the required software version
 };
 
 // Returns the name used in log lines.
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -196,6 +196,39 @@
   }
 }
 
+// Only a relay has somebody to pass reports and questions on to.
+auto coordinator_daemon::RecordBegunStreams(const schema::sync_request& request)
+    -> void {
+  const auto now = loop_.get_now();
+  const auto is_leader = raft_.is_leader();
+  for (const auto& row : request.begun_streams()) {
+    ForEachBegunStream(row, [&](stream_key key, const stream_origin& origin) {
+      if (is_leader) {
+        origins_.OnTold(key, origin, now);
+      } else if (!origins_.OnBegun(key, origin, now)) {
+        metrics_.Count("ebony_unreported_streams_total");
+      }
+    });
+  }
+}
+
+auto coordinator_daemon::FillOrigins(const schema::sync_request& request,
+                                     schema::sync_answer& reply) -> void {
+  for (const auto item : request.origin_questions()) {
+    const auto key = stream_key(item);
+    const auto origin = origins_.Find(key);
+    metrics_.Count(origin ? "ebony_origin_answers_total{known=\"yes\"}"
+                          : "ebony_origin_answers_total{known=\"no\"}");
+    if (origin) {
+      AddBegunStreams(*reply.add_origins(), *origin, {key});
+    } else if (!raft_.is_leader()) {
+      origins_.Ask(
+          key, [](const stream_origin&) {}, loop_.get_now());
+    }
+  }
+  metrics_.Set("ebony_known_streams", static_cast<double>(origins_.get_size()));
+}
+
 auto coordinator_daemon::FillLoads(schema::backend_loads& rows) const -> void {
   for (const auto& [id, amount] : load_totals_.get_totals()) {
     AddLoad(rows, backend_index_.GetNumber(id),
@@ -333,6 +366,10 @@
   const auto now = loop_.get_now();
   reply.set_gateway_count(
       static_cast<std::uint32_t>(gateways_.CountReady(now)));
+  if (is_leader || (is_gateway && relay_.CanServeGateways(now))) {
+    RecordBegunStreams(request);
+    FillOrigins(request, reply);
+  }
   if (is_leader && is_gateway) {
     FillGatewayAnswer(request, reply);
   } else if (is_leader) {
@@ -347,7 +384,7 @@
 }
 
 auto coordinator_daemon::GetLeaderSyncInterval() const -> duration {
-  if (relay_.HasUnservedDemand()) {
+  if (relay_.HasUnservedDemand() || origins_.HasQuestions()) {
     return kUrgentSyncInterval;
   }
   return relay_.HasGateways() ? kRelaySyncInterval : kIdleSyncInterval;
@@ -377,6 +414,13 @@
     last_gateway_request_ = now;
   }
   relay_.FillLeaderRequest(request, now);
+  const auto streams = origins_.TakeReport(now);
+  for (const auto& [origin, keys] : streams.begun) {
+    AddBegunStreams(*request.add_begun_streams(), origin, keys);
+  }
+  for (const auto& key : streams.questions) {
+    request.add_origin_questions(key.get());
+  }
   const auto body = std::make_shared<std::string>();
   auto hooks = call_hooks();
   hooks.on_head = [](const http_head&) { return true; };
@@ -400,6 +444,15 @@
   }
   const auto now = loop_.get_now();
   relay_.ApplyLeaderAnswer(reply, now);
+  origins_.OnReportAnswered(
+      std::exchange(reported_leader_, reply.roster_source()) !=
+      reply.roster_source());
+  for (const auto& row : reply.origins()) {
+    ForEachBegunStream(
+        row, [this, now](stream_key key, const stream_origin& origin) {
+          origins_.OnTold(key, origin, now);
+        });
+  }
   if (reply.gateways_size() > 0) {
     gateways_.Clear();
   }
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -90,6 +90,7 @@
       waits_,
       demand_,
       permits_,
+      origins_,
       first_events_,
       [this](std::uint64_t bound) { return random_() % bound; },
       [this] { link_.SyncSoon(); },
@@ -132,6 +133,13 @@
   for (const auto& report : permits_.TakeReports(now)) {
     AddPermitRequest(request, report, registry_.get_index(), now);
   }
+  const auto streams = origins_.TakeReport(now);
+  for (const auto& [origin, keys] : streams.begun) {
+    AddBegunStreams(*request.add_begun_streams(), origin, keys);
+  }
+  for (const auto& key : streams.questions) {
+    request.add_origin_questions(key.get());
+  }
   metrics_.Set("ebony_limited_servers",
                static_cast<double>(permits_.get_limited_servers()));
   for (const auto& [key, count] : demand_) {
@@ -175,7 +183,7 @@
   }
 }
 
-auto gateway_daemon::ApplyRegistry(const schema::sync_answer& answer) -> void {
+auto gateway_daemon::ApplyRegistry(const schema::sync_answer& answer) -> bool {
   const auto now = loop_.get_now();
   const auto previous = registry_.get_source();
   const auto is_new_source = registry_.ApplyAnswer(
@@ -186,6 +194,7 @@
     log_.Write(event_category::state, "roster_source",
                {{"source", registry_.get_source()}, {"former", previous}});
   }
+  return is_new_source;
 }
 
 auto gateway_daemon::OnBackendChanged(const backend_record& record,
@@ -201,6 +210,9 @@
               {"limit", GetRateField(record.limit.rate)},
               {"sequence", static_cast<std::int64_t>(status.sequence)},
               {"age_ms", duration(now - record.last_seen)}});
+  if (status.service != service_name()) {
+    software_.Observe(status.service, status.software, now);
+  }
   permits_.OnAnnounced(status.id, status.start_time_ms, record.limit);
   if (record.has_left) {
     pool_.CloseIdle(status.address);
@@ -209,7 +221,7 @@
 
 auto gateway_daemon::OnSyncAnswer(const schema::sync_answer& answer) -> void {
   ApplyConfig(answer);
-  ApplyRegistry(answer);
+  ApplyOrigins(answer, ApplyRegistry(answer));
   auto loads = std::map<backend_name, server_load>();
   ForEachLoad(answer.loads(), registry_.get_index(),
               [&loads](const backend_name& id, std::uint32_t requests,
@@ -228,6 +240,18 @@
   DispatchPending();
 }
 
+auto gateway_daemon::ApplyOrigins(const schema::sync_answer& answer,
+                                  bool is_new_source) -> void {
+  const auto now = loop_.get_now();
+  origins_.OnReportAnswered(is_new_source);
+  for (const auto& row : answer.origins()) {
+    ForEachBegunStream(
+        row, [this, now](stream_key key, const stream_origin& origin) {
+          origins_.OnTold(key, origin, now);
+        });
+  }
+}
+
 auto gateway_daemon::ApplyPermits(const schema::sync_answer& answer) -> void {
   const auto now = loop_.get_now();
   if (answer.grants_permits()) {
@@ -315,11 +339,106 @@
     RejectCall(metadata, error_kind::not_found, kNotFound, answer);
     return;
   }
-  const auto& service = route_table_->PickService(
-      *rule, [this](std::uint64_t bound) { return random_() % bound; });
+  if (rule->retry == retry_policy::resumable && metadata.takes_up_stream) {
+    TakeUpStream(*rule, std::move(call), std::move(metadata), answer);
+    return;
+  }
+  StartRouted(std::move(call), std::move(metadata), std::nullopt, answer);
+}
+
+auto gateway_daemon::FindOrigin(const route_rule& rule,
+                                const request_metadata& metadata)
+    -> std::optional<stream_origin> {
+  if (metadata.resumes) {
+    if (auto origin = origins_.Find(GetStreamKey(*metadata.resumes))) {
+      return origin;
+    }
+  }
+  const auto now = loop_.get_now();
+  if (rule.targets.size() != 1 || permits_.IsOutOfContact(now)) {
+    return std::nullopt;
+  }
+  const auto& service = rule.targets.front().service;
+  const auto software = software_.GetOnly(service, now);
+  return software ? std::optional(stream_origin{service, *software})
+                  : std::nullopt;
+}
+
+auto gateway_daemon::TakeUpStream(const route_rule& rule,
+                                  incoming_request call,
+                                  request_metadata metadata,
+                                  const response_pointer& answer) -> void {
+  if (const auto origin = FindOrigin(rule, metadata)) {
+    StartRouted(std::move(call), std::move(metadata), origin, answer);
+  } else if (metadata.resumes) {
+    AskForOrigin(std::move(call), std::move(metadata), answer);
+  } else {
+    RejectCall(metadata, error_kind::stream_origin_unknown, kUnavailable,
+               answer);
+  }
+}
+
+// The coordinators may know what began the stream, or may be about to be told.
+auto gateway_daemon::AskForOrigin(incoming_request call,
+                                  request_metadata metadata,
+                                  const response_pointer& answer) -> void {
+  struct waiting_call {
+    incoming_request call;
+    request_metadata metadata;
+    bool is_started = false;
+  };
+  const auto asked_at = loop_.get_now();
+  const auto key = GetStreamKey(*metadata.resumes);
+  const auto waiting = std::make_shared<waiting_call>(
+      waiting_call{std::move(call), std::move(metadata)});
+  const auto timeout = loop_.AddTimerIn(
+      stream_origins::kQuestionTimeout, [this, waiting, answer] {
+        if (std::exchange(waiting->is_started, true) || answer->is_final()) {
+          return;
+        }
+        RejectCall(waiting->metadata, error_kind::stream_origin_unknown,
+                   kUnavailable, answer);
+      });
+  origins_.Ask(
+      key,
+      [this, waiting, answer, asked_at, timeout](const stream_origin& origin) {
+        if (std::exchange(waiting->is_started, true) || answer->is_final()) {
+          return;
+        }
+        loop_.CancelTimer(timeout);
+        log_.Write(event_category::request, "stream_origin",
+                   {{"request", waiting->metadata.id.get()},
+                    {"resumes", waiting->metadata.resumes->get()},
+                    {"software", origin.software.get()},
+                    {"waited_ms", duration(loop_.get_now() - asked_at)}});
+        StartRouted(std::move(waiting->call), std::move(waiting->metadata),
+                    origin, answer);
+      },
+      asked_at);
+  link_.SyncSoon();
+}
+
+auto gateway_daemon::StartRouted(incoming_request call,
+                                 request_metadata metadata,
+                                 std::optional<stream_origin> origin,
+                                 const response_pointer& answer) -> void {
+  const auto* rule = route_table_->Match(metadata.host, metadata.path);
+  if (rule == nullptr) {
+    RejectCall(metadata, error_kind::not_found, kNotFound, answer);
+    return;
+  }
+  const auto* service =
+      origin ? route_table_->FindTarget(*rule, origin->service)
+             : &route_table_->PickService(*rule, [this](std::uint64_t bound) {
+                 return random_() % bound;
+               });
+  if (service == nullptr) {
+    RejectCall(metadata, error_kind::stream_version_gone, kUnavailable, answer);
+    return;
+  }
   const auto session = std::make_shared<proxy_session>(
-      context_, route_table_, *rule, service, std::move(call),
-      std::move(metadata), answer);
+      context_, route_table_, *rule, *service, std::move(call),
+      std::move(metadata), std::move(origin), answer);
   std::erase_if(sessions_, [](const auto& item) { return item.expired(); });
   sessions_.insert(session);
   session->Start();
--- a/main/gateway_daemon.h
+++ b/main/gateway_daemon.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -10,6 +11,7 @@
 
 #include "core/metrics.h"
 #include "core/site_settings.h"
+#include "core/software_history.h"
 #include "drivers/event_log.h"
 #include "drivers/event_loop.h"
 #include "drivers/http_listener.h"
@@ -19,6 +21,7 @@
 #include "entry/route_table.h"
 #include "entry/server_permits.h"
 #include "entry/server_selector.h"
+#include "entry/stream_origins.h"
 #include "main/gateway_link.h"
 #include "main/proxy_session.h"
 #include "main/registry_replica.h"
@@ -36,6 +39,8 @@
   http_pool pool_;
   registry_replica registry_;
   server_permits permits_;
+  stream_origins origins_;
+  software_history software_;
   server_selector selector_;
   retry_allowance retries_;
   pending_queue<proxy_session> pending_;
@@ -67,13 +72,32 @@
   auto MakeRequest() -> schema::sync_request;
   auto OnSyncAnswer(const schema::sync_answer& answer) -> void;
   auto ApplyConfig(const schema::sync_answer& answer) -> void;
-  auto ApplyRegistry(const schema::sync_answer& answer) -> void;
+  // Returns true if the answer is the first of another leader or relay.
+  auto ApplyRegistry(const schema::sync_answer& answer) -> bool;
   auto ApplyPermits(const schema::sync_answer& answer) -> void;
   auto OnBackendChanged(const backend_record& record, mono_time now) -> void;
   auto OnCall(incoming_request call, const response_pointer& answer) -> void;
   auto StartSession(incoming_request call,
                     request_metadata metadata,
                     const response_pointer& answer) -> void;
+  // Starts a request that takes up a stream, once it is known what began it.
+  auto TakeUpStream(const route_rule& rule,
+                    incoming_request call,
+                    request_metadata metadata,
+                    const response_pointer& answer) -> void;
+  auto AskForOrigin(incoming_request call,
+                    request_metadata metadata,
+                    const response_pointer& answer) -> void;
+  // Starts a request at the service that began its stream, if it has one.
+  auto StartRouted(incoming_request call,
+                   request_metadata metadata,
+                   std::optional<stream_origin> origin,
+                   const response_pointer& answer) -> void;
+  // Returns what began a stream, as far as this gateway knows.
+  auto FindOrigin(const route_rule& rule, const request_metadata& metadata)
+      -> std::optional<stream_origin>;
+  auto ApplyOrigins(const schema::sync_answer& answer, bool is_new_source)
+      -> void;
   // Holds a request for a short time that arrives before the first
   // configuration.
   auto DeferCall(incoming_request call, const response_pointer& answer) -> void;
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -42,6 +42,7 @@
                              const service_spec& service,
                              incoming_request call,
                              request_metadata metadata,
+                             std::optional<stream_origin> origin,
                              response_pointer answer)
     : context_(context),
       route_table_(std::move(table)),
@@ -50,6 +51,7 @@
       call_(std::move(call)),
       answer_(std::move(answer)),
       metadata_(std::move(metadata)),
+      origin_(std::move(origin)),
       stream_(rule.retry == retry_policy::resumable) {
   const auto limit =
       std::min(rule_.time_limit, metadata_.deadline.value_or(rule_.time_limit));
@@ -89,6 +91,7 @@
   query.prompt_tokens = static_cast<double>(metadata_.prompt_tokens);
   query.ignores_prefill_limit = is_overdue_;
   query.avoid = &tried_servers_;
+  query.software = origin_ ? &origin_->software : nullptr;
   return query;
 }
 
@@ -99,9 +102,22 @@
          context_.retries.CanRetry(service_.name, now);
 }
 
+// A stream whose other servers run another version may go on at a server that
+// broke it off, if that is reachable.
+auto proxy_session::ChooseServer() -> server_choice {
+  const auto now = context_.loop.get_now();
+  auto query = MakeQuery();
+  auto choice = context_.selector.Choose(query, now);
+  if (origin_ && choice.verdict == server_verdict::no_replica) {
+    query.avoid = nullptr;
+    choice = context_.selector.Choose(query, now);
+  }
+  return choice;
+}
+
 auto proxy_session::TryDispatch() -> void {
   const auto now = context_.loop.get_now();
-  auto choice = context_.selector.Choose(MakeQuery(), now);
+  auto choice = ChooseServer();
   if (choice.verdict == server_verdict::chosen) {
     LeaveQueue();
     for (const auto& id : choice.without_permit) {
@@ -124,6 +140,7 @@
   ++attempts_;
   server_ = server.id;
   server_start_time_ms_ = server.start_time_ms;
+  server_software_ = server.software;
   tried_servers_.insert(server.id);
   sent_at_ = now;
   response_head_ = http_head();
@@ -280,11 +297,26 @@
   last_write_ = now;
 }
 
+auto proxy_session::RecordOrigin() -> void {
+  if (rule_.retry != retry_policy::resumable) {
+    return;
+  }
+  if (!origin_) {
+    origin_ = stream_origin{service_.name, server_software_};
+  }
+  const auto first = metadata_.resumes.value_or(metadata_.id);
+  if (!context_.origins.OnBegun(GetStreamKey(first), *origin_,
+                                context_.loop.get_now())) {
+    context_.counters.Count("ebony_unreported_streams_total");
+  }
+}
+
 auto proxy_session::SendToCaller(std::string_view bytes) -> void {
   if (bytes.empty()) {
     return;
   }
   if (!answer_->has_begun()) {
+    RecordOrigin();
     answer_->Begin(platform::MakeCallerHead(response_head_));
   }
   RecordWrite();
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -23,6 +23,7 @@
 #include "entry/server_permits.h"
 #include "entry/server_selector.h"
 #include "entry/stream_assembler.h"
+#include "entry/stream_origins.h"
 #include "entry/wait_estimator.h"
 
 namespace ebony {
@@ -51,6 +52,7 @@
   wait_estimator& waits;
   std::map<demand_key, demand_count>& demand;
   server_permits& permits;
+  stream_origins& origins;
   first_event_sums& first_events;
   // Returns a random number in [0, bound).
   std::function<std::uint64_t(std::uint64_t)> random;
@@ -97,6 +99,7 @@
   timer_id stall_timer_;
   backend_name server_;  // of the latest attempt
   std::uint64_t server_start_time_ms_ = 0;
+  software_version server_software_;
   mono_time sent_at_;
   // Prompt tokens that count towards the server's load until its first event.
   double prefill_tokens_ = 0;
@@ -115,6 +118,8 @@
   std::optional<buffered_response> error_response_;
 
   // Forwarding of a stream.
+  // What began a resumable stream, once the caller has an event of it.
+  std::optional<stream_origin> origin_;
   stream_assembler stream_;
   mono_time last_write_;  // when bytes were last sent to the caller
   // From the request's arrival to the first bytes sent to the caller.
@@ -126,6 +131,7 @@
   auto MakeQuery() const -> server_query;
   // Returns true if the request could be retried on another server now.
   auto HasAlternativeServer() -> bool;
+  auto ChooseServer() -> server_choice;
   auto TryDispatch() -> void;
   // Queues the request, or rejects it if waiting cannot help.
   auto Enqueue(server_verdict reason) -> void;
@@ -150,6 +156,8 @@
   // Records what an answer says of the server's limit of requests.
   auto RecordLimit(const server_answer& answer) -> void;
   auto OnBody(std::string_view bytes) -> void;
+  // Remembers what began the stream before its first bytes go to the caller.
+  auto RecordOrigin() -> void;
   auto SendToCaller(std::string_view bytes) -> void;
   auto ForwardEvents(std::string_view bytes) -> void;
   auto RecordWrite() -> void;
@@ -181,6 +189,7 @@
                 const service_spec& service,
                 incoming_request call,
                 request_metadata metadata,
+                std::optional<stream_origin> origin,
                 response_pointer answer);
 
   // Starts to process the request. Called once.
--- a/main/proxy_session_queue.cc
+++ b/main/proxy_session_queue.cc
@@ -109,6 +109,10 @@
 }
 
 auto proxy_session::Enqueue(server_verdict reason) -> void {
+  if (reason == server_verdict::no_version) {
+    Reject(error_kind::stream_version_gone, duration(0));
+    return;
+  }
   const auto is_first_attempt = tried_servers_.empty();
   if (reason == server_verdict::no_replica && IsEngine() && is_first_attempt) {
     ++context_.demand[{service_.name, metadata_.model, metadata_.adapter}]
--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -256,6 +256,28 @@
   gateway_->Start();
 }
 
+auto gateway_harness::AddOrigin(const std::string& request,
+                                const std::string& service,
+                                const std::string& software) -> void {
+  origins_.Add(GetStreamKey(caller_request_id(request)),
+               {service_name(service), software_version(software)},
+               loop_.get_now());
+}
+
+auto gateway_harness::AnswerOrigins(const schema::sync_request& request,
+                                    schema::sync_answer& reply) -> void {
+  for (const auto& row : request.begun_streams()) {
+    ForEachBegunStream(row, [this](stream_key key, const stream_origin& item) {
+      origins_.Add(key, item, loop_.get_now());
+    });
+  }
+  for (const auto key : request.origin_questions()) {
+    if (const auto* origin = origins_.Find(stream_key(key))) {
+      AddBegunStreams(*reply.add_origins(), *origin, {stream_key(key)});
+    }
+  }
+}
+
 auto gateway_harness::OnSync(const incoming_request& call,
                              const response_pointer& answer) -> void {
   auto request = schema::sync_request();
@@ -277,6 +299,9 @@
   for (const auto* record : registry_.ListSince(0)) {
     *reply.add_backends() = ToSchema(*record, loop_.get_now());
   }
+  if (knows_origins_) {
+    AnswerOrigins(request, reply);
+  }
   reply.set_gateway_count(1);
   reply.set_served_gateways(1);
   auto head = http_head();
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -9,6 +9,7 @@
 
 #include "core/backend_registry.h"
 #include "core/metrics.h"
+#include "core/stream_origin_table.h"
 #include "drivers/event_log.h"
 #include "drivers/event_loop.h"
 #include "drivers/http_listener.h"
@@ -97,6 +98,8 @@
   std::vector<std::shared_ptr<caller>> callers_;
   std::uint64_t sequence_ = 0;
   bool is_coordinator_silent_ = false;
+  stream_origin_table origins_;  // as reported by gateways
+  bool knows_origins_ = true;
   // Gateways before `Restart`, kept because their timers still refer to them.
   std::vector<std::unique_ptr<gateway_daemon>> stopped_gateways_;
   std::deque<server_script> common_scripts_;
@@ -106,6 +109,8 @@
       -> void;
   auto OnSync(const incoming_request& call, const response_pointer& answer)
       -> void;
+  auto AnswerOrigins(const schema::sync_request& request,
+                     schema::sync_answer& reply) -> void;
 
  public:
   std::vector<std::unique_ptr<scripted_server>> servers;
@@ -143,6 +148,12 @@
   auto SetCoordinatorSilent(bool is_silent) -> void {
     is_coordinator_silent_ = is_silent;
   }
+  // While unset, the coordinator neither learns nor tells what began streams.
+  auto SetKnowsOrigins(bool knows) -> void { knows_origins_ = knows; }
+  // Tells the coordinator what began the stream of a request.
+  auto AddOrigin(const std::string& request,
+                 const std::string& service,
+                 const std::string& software) -> void;
   // Runs the event loop until `done` returns true, or fails the test after 5 s.
   auto RunUntil(const std::function<bool()>& done) -> void;
   auto RunFor(duration time) -> void;
--- a/tests/request_limit_test.cc
+++ b/tests/request_limit_test.cc
@@ -86,7 +86,7 @@
         {{"HTTP/1.1 200 OK\r\nEbonythread-Request-Id: $ID\r\n"
           "Ebonythread-Response-Seal: s\r\n"
           "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
-          "\r\n12\r\nid: 1\ndata: one\n\n\n\r\n"},
+          "\r\n11\r\nid: 1\ndata: one\n\n\r\n"},
          server_script::ending::reset});
   }
   auto answers = std::vector<std::shared_ptr<caller_response>>();
--- a/tests/stream_version_test.cc
+++ b/tests/stream_version_test.cc
@@ -1,8 +1,12 @@
 #include <boost/test/unit_test.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "core/software_history.h"
+#include "core/stream_origin_table.h"
+#include "entry/stream_origins.h"
 #include "tests/gateway_harness.h"
 
 namespace ebony::testing {
@@ -16,7 +20,7 @@
 
 // Renders one event as a chunk.
 auto MakeEvent(int id) -> std::string {
-  return "11\r\nid: " + std::to_string(id) + "\ndata: x\n\n\r\n";
+  return "f\r\nid: " + std::to_string(id) + "\ndata: x\n\n\r\n";
 }
 
 // A stream of `events` events, the first of which has the id `first`, that is
@@ -50,6 +54,27 @@
   return answer;
 }
 
+// Returns true if the first or the second server got no request.
+auto IsOneUnused(const gateway_harness& site) -> bool {
+  return site.servers[0]->get_received().empty() ||
+         site.servers[1]->get_received().empty();
+}
+
+auto CountReceived(const gateway_harness& site) -> std::size_t {
+  auto count = std::size_t{0};
+  for (const auto& server : site.servers) {
+    count += server->get_received().size();
+  }
+  return count;
+}
+
+auto IsTrueRefusal(const caller_response& answer) -> bool {
+  return answer.status == 503 && answer.head.Find("Retry-After") != nullptr;
+}
+
+const auto kOrigin = stream_origin{service_name("s"), software_version("v1")};
+const auto kKey = stream_key(7);
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(stream_versions)
@@ -61,14 +86,184 @@
     site.servers[0]->AddScript(MakeStream(1, 2, false));
     site.servers[1]->AddScript(MakeStream(1, 2, false));
     RunUntilEnded(site, site.Send(MakeRequest("resume", "first")));
-    const auto received = site.servers[0]->get_received().size() +
-                          site.servers[1]->get_received().size();
-    BOOST_TEST(received == 1U);
+    BOOST_TEST(IsOneUnused(site));
     // The same, when the caller takes the stream up.
     TakeUp(site, "first", "second");
-    BOOST_TEST((site.servers[0]->get_received().empty() ||
-                site.servers[1]->get_received().empty()));
+    BOOST_TEST(IsOneUnused(site));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_goes_on_at_another_server_of_its_version) {
+  auto site = gateway_harness(3);
+  site.SetSoftware(1, "v2");
+  site.SetSoftware(2, "v2");
+  // Whichever server is asked first begins the stream.
+  site.AddCommonScript(MakeStream(1, 2, false));
+  site.AddCommonScript(MakeStream(3, 2, true));
+  const auto answer = site.Send(MakeRequest("resume", "first"));
+  RunUntilEnded(site, answer);
+  BOOST_TEST(answer->is_complete);
+  BOOST_TEST(answer->body.find("id: 4") != std::string::npos);
+  const auto is_old_unused = site.servers[0]->get_received().empty();
+  const auto is_new_unused = site.servers[1]->get_received().empty() &&
+                             site.servers[2]->get_received().empty();
+  BOOST_TEST(is_old_unused != is_new_unused);
+}
+
+BOOST_AUTO_TEST_CASE(a_gateway_that_did_not_begin_a_stream_asks_what_did) {
+  for (const auto* software : {"v1", "v2"}) {
+    auto site = gateway_harness(2);
+    site.SetSoftware(1, "v2");
+    site.AddOrigin("first", "s", software);
+    const auto right = software == std::string("v1") ? 0U : 1U;
+    site.servers[right]->AddScript(MakeStream(3, 2, true));
+    const auto answer = TakeUp(site, "first", "second");
+    BOOST_TEST(answer->status == 200);
+    BOOST_TEST(answer->is_complete);
+    BOOST_TEST(site.servers[1 - right]->get_received().empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_gateway_goes_on_with_the_streams_of_its_past) {
+  auto site = gateway_harness(2);
+  site.SetSoftware(1, "v2");
+  site.servers[0]->AddScript(MakeStream(1, 2, false));
+  site.servers[0]->AddScript(MakeStream(3, 0, false));
+  site.servers[1]->AddScript(MakeStream(1, 2, false));
+  site.servers[1]->AddScript(MakeStream(3, 0, false));
+  RunUntilEnded(site, site.Send(MakeRequest("resume", "first")));
+  site.RunFor(std::chrono::milliseconds(200));
+  site.Restart();
+  site.servers[0]->AddScript(MakeStream(3, 2, true));
+  site.servers[1]->AddScript(MakeStream(3, 2, true));
+  const auto answer = TakeUp(site, "first", "second");
+  BOOST_TEST(answer->is_complete);
+  BOOST_TEST(IsOneUnused(site));
+}
+
+BOOST_AUTO_TEST_CASE(an_origin_that_is_reported_late_is_waited_for) {
+  auto site = gateway_harness(2);
+  site.SetSoftware(1, "v2");
+  const auto answer = site.Send(MakeRequest(
+      "resume", "second", "Last-Event-Id: 2\r\nResumes: first\r\n"));
+  site.RunFor(std::chrono::milliseconds(150));
+  BOOST_TEST(CountReceived(site) == 0U);
+  site.servers[1]->AddScript(MakeStream(3, 2, true));
+  site.AddOrigin("first", "s", "v2");
+  RunUntilEnded(site, answer);
+  BOOST_TEST(answer->is_complete);
+  BOOST_TEST(site.servers[0]->get_received().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_of_unknown_origin_reaches_no_server) {
+  auto site = gateway_harness(2);
+  site.SetSoftware(1, "v2");
+  site.SetKnowsOrigins(false);
+  BOOST_TEST(IsTrueRefusal(*TakeUp(site, "first", "second")));
+  const auto unnamed =
+      site.Send(MakeRequest("resume", "third", "Last-Event-Id: 2\r\n"));
+  RunUntilEnded(site, unnamed);
+  BOOST_TEST(IsTrueRefusal(*unnamed));
+  site.SetCoordinatorSilent(true);
+  BOOST_TEST(IsTrueRefusal(*TakeUp(site, "first", "fourth")));
+  BOOST_TEST(CountReceived(site) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_whose_version_is_gone_is_refused) {
+  auto site = gateway_harness(2);
+  site.AddOrigin("first", "s", "v0");
+  site.AddOrigin("other", "another-service", "v1");
+  BOOST_TEST(IsTrueRefusal(*TakeUp(site, "first", "second")));
+  BOOST_TEST(IsTrueRefusal(*TakeUp(site, "other", "third")));
+  BOOST_TEST(CountReceived(site) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_restarts_at_another_version_is_another) {
+  auto site = gateway_harness(1);
+  site.servers[0]->AddScript(MakeStream(1, 2, false));
+  site.servers[0]->AddScript(MakeStream(3, 0, false));
+  RunUntilEnded(site, site.Send(MakeRequest("resume", "first")));
+  const auto received = CountReceived(site);
+  site.RestartServer(0);
+  site.SetSoftware(0, "v2");
+  BOOST_TEST(IsTrueRefusal(*TakeUp(site, "first", "second")));
+  BOOST_TEST(CountReceived(site) == received);
+}
+
+BOOST_AUTO_TEST_CASE(other_streams_are_not_bound_to_a_version) {
+  auto site = gateway_harness(1);
+  site.SetSoftware(0, "v2");
+  const auto answer = site.Send(
+      MakeRequest("plain", "first", "Last-Event-Id: 2\r\nResumes: x\r\n"));
+  RunUntilEnded(site, answer);
+  BOOST_TEST(answer->status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(a_report_is_repeated_until_it_is_answered) {
+  auto origins = stream_origins();
+  const auto now = mono_time();
+  origins.OnBegun(kKey, kOrigin, now);
+  BOOST_TEST(origins.TakeReport(now).begun[kOrigin].size() == 1U);
+  origins.OnBegun(stream_key(8), kOrigin, now);
+  BOOST_TEST(origins.TakeReport(now).begun[kOrigin].size() == 2U);
+  origins.OnReportAnswered(false);
+  BOOST_TEST(origins.TakeReport(now).begun.empty());
+  // A new leader knows nothing.
+  origins.OnReportAnswered(true);
+  BOOST_TEST(origins.TakeReport(now).begun[kOrigin].size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_relay_passes_on_reports_and_questions) {
+  auto gateway = stream_origins();
+  auto relay = stream_origins();
+  auto leader = stream_origins();
+  const auto now = mono_time();
+  relay.OnBegun(kKey, kOrigin, now);
+  const auto report = relay.TakeReport(now);
+  for (const auto& key : report.begun.at(kOrigin)) {
+    leader.OnTold(key, kOrigin, now);
   }
+  // Another relay, whose gateway asks.
+  auto other = stream_origins();
+  auto told = std::optional<stream_origin>();
+  gateway.Ask(
+      kKey, [&told](const stream_origin& origin) { told = origin; }, now);
+  other.Ask(
+      gateway.TakeReport(now).questions.at(0), [](const stream_origin&) {},
+      now);
+  const auto asked = other.TakeReport(now).questions.at(0);
+  other.OnTold(asked, *leader.Find(asked), now);
+  gateway.OnTold(kKey, *other.Find(kKey), now);
+  BOOST_TEST((told == kOrigin));
+  BOOST_TEST(!gateway.HasQuestions());
+}
+
+BOOST_AUTO_TEST_CASE(the_first_origin_of_a_stream_stays_until_it_expires) {
+  auto table = stream_origin_table();
+  auto now = mono_time(std::chrono::hours(1));
+  table.Add(kKey, kOrigin, now);
+  table.Add(kKey, {service_name("s"), software_version("v2")}, now);
+  BOOST_TEST((*table.Find(kKey) == kOrigin));
+  now += stream_origin_table::kLifetime;
+  table.Add(stream_key(8), kOrigin, now);
+  BOOST_TEST((table.Find(kKey) != nullptr));
+  now += stream_origin_table::kLifetime;
+  table.Add(stream_key(9), kOrigin, now);
+  BOOST_TEST((table.Find(kKey) == nullptr));
+  BOOST_TEST(table.get_size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(only_a_long_history_tells_the_only_version) {
+  auto history = software_history();
+  const auto service = service_name("s");
+  const auto now = mono_time(std::chrono::hours(1));
+  const auto later = now + software_history::kMinHistory;
+  history.Observe(service, software_version("v1"), now);
+  BOOST_TEST(!history.GetOnly(service, now).has_value());
+  BOOST_TEST(history.GetOnly(service, later)->get() == "v1");
+  BOOST_TEST(!history.GetOnly(service_name("other"), later).has_value());
+  history.Observe(service, software_version("v2"), later);
+  BOOST_TEST(!history.GetOnly(service, later).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
