Entries resume a stream only at the software version that began it

Announcements of engines may say their software; it goes through the log and the tables to the entries. The version is fixed by the first event that the caller has, an attempt without one may go to any version, and with no server of that version left the stream ends with stream_version_gone. A caller can't take a stream up at another entry, so nothing has to be shared. Test: coordinator_test, both ways.

--- a/codec/entry_codec.cc
+++ b/codec/entry_codec.cc
@@ -15,6 +15,7 @@
   route.data_centre = data_centre_name(row.data_centre());
   route.run = incarnation(row.incarnation());
   route.slots = std::max<std::uint32_t>(1, row.slots());
+  route.software = software_version(row.software());
   route.leaving = row.leaving();
   route.removed = row.removed();
   for (const auto& item : row.replicas()) {
--- a/codec/link_codec.cc
+++ b/codec/link_codec.cc
@@ -36,6 +36,7 @@
   row.set_data_centre(entry.info.data_centre.get());
   row.set_slots(entry.info.slots);
   row.set_role(entry.info.role);
+  row.set_software(entry.info.software.get());
   row.set_leaving(entry.is_leaving());
   for (const auto& service : entry.info.services) {
     row.add_services(service.get());
--- a/codec/record_codec.cc
+++ b/codec/record_codec.cc
@@ -158,6 +158,7 @@
   value.checks_fencing = message.checks_fencing();
   value.checks_sender = message.checks_sender();
   value.role = message.role();
+  value.software = software_version(message.software());
   return value;
 }
 
@@ -184,6 +185,7 @@
   message.set_checks_fencing(value.checks_fencing);
   message.set_checks_sender(value.checks_sender);
   message.set_role(value.role);
+  message.set_software(value.software.get());
   return message;
 }
 
--- a/core/domain.h
+++ b/core/domain.h
@@ -104,6 +104,7 @@
   bool checks_fencing = false;
   bool checks_sender = false;
   std::string role;
+  software_version software;
 };
 
 // Sets the complete target state of one accelerator. The id is also the fencing
--- a/entry/request_coordinator.cc
+++ b/entry/request_coordinator.cc
@@ -217,8 +217,10 @@
       Enqueue(active, now);
       break;
     case route_verdict::none_usable:
-      Refuse(active, error_kind::no_backend, active.ran,
-             "no backend server can execute the request now", now);
+      Refuse(active,
+             active.origin ? error_kind::stream_version_gone
+                           : error_kind::no_backend,
+             active.ran, "no backend server can execute the request now", now);
       break;
   }
 }
@@ -236,6 +238,7 @@
   query.priority = active.priority;
   query.prefix_hash = active.request.prefix_hash;
   query.avoid = &active.tried;
+  query.software = active.origin ? &*active.origin : nullptr;
   auto choice = router_.Choose(query, now);
   if (choice.verdict == route_verdict::none_usable && !active.tried.empty()) {
     query.avoid = nullptr;
@@ -255,6 +258,7 @@
   active.attempt = attempt_number(active.attempt.get() + 1);
   ++active.attempts;
   active.backend = backend.name;
+  active.software = backend.software;
   active.sent = now;
   active.progressed = now;
   active.tried.insert(backend.name);
@@ -427,6 +431,7 @@
   }
   if (result.events_delivered > 0) {
     active.ran = ran_state::yes;
+    active.origin = active.origin.value_or(active.software);
   }
   const auto is_safe = cannot_run || active.request.is_retryable;
   if (is_safe && !result.has_replay_mismatch && MayRetry(active, now)) {
--- a/entry/request_coordinator.h
+++ b/entry/request_coordinator.h
@@ -138,6 +138,9 @@
     mono_time sent;
     mono_time progressed;
     std::uint64_t events_delivered = 0;
+    software_version software;  // of the latest attempt's server
+    // What began the stream, once the caller has an event of it.
+    std::optional<software_version> origin;
     std::set<backend_name> tried;
     // Whether a backend server has or may have executed the request so far.
     ran_state ran = ran_state::no;
--- a/entry/router.cc
+++ b/entry/router.cc
@@ -57,6 +57,9 @@
   if (backend.leaving || load.leaving) {
     return false;
   }
+  if (query.software != nullptr && backend.software != *query.software) {
+    return false;
+  }
   if (query.avoid != nullptr && query.avoid->contains(backend.name)) {
     return false;
   }
--- a/entry/router.h
+++ b/entry/router.h
@@ -49,6 +49,8 @@
   priority_class priority = priority_class::interactive;
   std::uint64_t prefix_hash = 0;                  // 0: none
   const std::set<backend_name>* avoid = nullptr;  // tried before; may be null
+  // Set for a stream that has begun: the version that may go on with it.
+  const software_version* software = nullptr;
 };
 
 enum class route_verdict {
--- a/entry/routing_table.h
+++ b/entry/routing_table.h
@@ -21,6 +21,7 @@
   host_port address;
   data_centre_name data_centre;
   incarnation run;
+  software_version software;
   std::uint32_t slots = 1;  // concurrent requests
   bool leaving = false;
   std::vector<replica_route> replicas;
--- a/fakes/fake_engine.cc
+++ b/fakes/fake_engine.cc
@@ -337,6 +337,7 @@
   }
   state.services = options_.services;
   state.slots = options_.slots;
+  state.software = options_.software;
   state.running = static_cast<std::uint32_t>(running_.size());
   state.queued = static_cast<std::uint32_t>(queued_.size());
   state.leaving = is_leaving_;
--- a/fakes/fake_engine.h
+++ b/fakes/fake_engine.h
@@ -20,6 +20,7 @@
   data_centre_name data_centre;
   std::vector<mebibytes> accelerators;
   std::vector<service_name> services;
+  software_version software;
   std::uint32_t slots = 8;  // requests that run concurrently
   // Time per token: the base, plus the part per running request.
   duration token_base = std::chrono::milliseconds(4);
--- a/tests/coordinator_test.cc
+++ b/tests/coordinator_test.cc
@@ -44,6 +44,23 @@
     table.Apply(update);
   }
 
+  // Adds a server of another software version that holds the same model.
+  auto AddServer(const model_spec& model,
+                 const std::string& name,
+                 const std::string& software) -> void {
+    auto update = routing_update();
+    update.from = table.get_version();
+    update.to = config_version(table.get_version().get() + 1);
+    auto backend = backend_route();
+    backend.name = backend_name(name);
+    backend.run = incarnation(1);
+    backend.slots = 2;
+    backend.software = software_version(software);
+    backend.replicas = {{model.key, {}}};
+    update.backends.push_back(backend);
+    table.Apply(update);
+  }
+
   // Submits a request with a time limit of `limit`.
   auto SubmitRequest(const std::string& caller, mono_time now, duration limit)
       -> request_id {
@@ -104,6 +121,35 @@
   BOOST_TEST((refusal.ran == ran_state::yes));
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_resumes_a_stream_only_at_its_version) {
+  const auto model = MakeModel("m", 1);
+  for (const auto* software : {"v1", "v2"}) {
+    auto entry = single_entry_harness(model);
+    entry.AddServer(model, "b", "v1");
+    entry.AddServer(model, "other", software);
+    const auto id = entry.SubmitRequest("c", At(0), milliseconds(5000));
+    const auto first = entry.TakeActionsOf<dispatch_action>().at(0);
+    auto cut = attempt_result();
+    cut.events_delivered = 3;
+    entry.coordinator.OnAttemptEnd(id, first.attempt, cut, At(10));
+    const auto second = entry.TakeActionsOf<dispatch_action>().at(0);
+    const auto is_same_version = std::string(software) == "v1";
+    BOOST_TEST((second.backend == first.backend) == !is_same_version);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_without_an_event_may_go_to_any_version) {
+  const auto model = MakeModel("m", 1);
+  auto entry = single_entry_harness(model);
+  entry.AddServer(model, "b", "v1");
+  entry.AddServer(model, "other", "v2");
+  const auto id = entry.SubmitRequest("c", At(0), milliseconds(5000));
+  const auto first = entry.TakeActionsOf<dispatch_action>().at(0);
+  entry.coordinator.OnAttemptEnd(id, first.attempt, attempt_result(), At(10));
+  const auto second = entry.TakeActionsOf<dispatch_action>().at(0);
+  BOOST_TEST((second.backend != first.backend));
+}
+
 BOOST_AUTO_TEST_CASE(the_answer_of_an_earlier_attempt_does_not_count) {
   auto entry = single_entry_harness(MakeModel("m", 1));
   const auto id = entry.SubmitRequest("c", At(0), milliseconds(5000));
