--- a/entry/server_permits.h
+++ b/entry/server_permits.h
@@ -135,6 +135,10 @@
   auto Prune(const std::function<bool(const backend_name&)>& is_known) -> void;
 
   auto IsOutOfContact(mono_time now) const -> bool;
+  // Returns the time since the last answer of coordinators that grant permits.
+  auto GetContactAge(mono_time now) const -> duration {
+    return now - last_contact_;
+  }
   auto get_limited_servers() const -> std::size_t;
   // Permits that were granted and not used in time.
   auto get_expired() const -> std::uint64_t { return expired_; }
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -34,6 +34,9 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
+// Longest time without an answer of a sure leader for which the software
+// versions in the registry still count as all that there are.
+constexpr duration kMaxRegistryAge = std::chrono::milliseconds(2500);
 constexpr duration kNoConfigRetryAfter = std::chrono::milliseconds(500);
 
 auto MakeRetryOptions(const site_settings& settings)
@@ -354,14 +357,31 @@
       return origin;
     }
   }
-  const auto now = loop_.get_now();
-  if (rule.targets.size() != 1 || permits_.IsOutOfContact(now)) {
+  const auto only = FindOnlySoftware(rule);
+  const auto is_history_long =
+      only && software_.GetOnly(only->service, loop_.get_now());
+  return is_history_long ? only : std::nullopt;
+}
+
+auto gateway_daemon::FindOnlySoftware(const route_rule& rule) const
+    -> std::optional<stream_origin> {
+  const auto is_current =
+      permits_.GetContactAge(loop_.get_now()) <= kMaxRegistryAge;
+  if (rule.targets.size() != 1 || !is_current) {
     return std::nullopt;
   }
   const auto& service = rule.targets.front().service;
-  const auto software = software_.GetOnly(service, now);
-  return software ? std::optional(stream_origin{service, *software})
-                  : std::nullopt;
+  auto only = std::optional<stream_origin>();
+  for (const auto& [id, record] : registry_.get_registry().get_records()) {
+    if (record.status.service != service) {
+      continue;
+    }
+    if (only && only->software != record.status.software) {
+      return std::nullopt;
+    }
+    only = stream_origin{service, record.status.software};
+  }
+  return only;
 }
 
 auto gateway_daemon::TakeUpStream(const route_rule& rule,
@@ -373,9 +393,20 @@
   } else if (metadata.resumes) {
     AskForOrigin(std::move(call), std::move(metadata), answer);
   } else {
-    RejectCall(metadata, error_kind::stream_origin_unknown, kUnavailable,
-               answer);
+    StartUnknown(std::move(call), std::move(metadata), answer);
+  }
+}
+
+auto gateway_daemon::StartUnknown(incoming_request call,
+                                  request_metadata metadata,
+                                  const response_pointer& answer) -> void {
+  const auto* rule = route_table_->Match(metadata.host, metadata.path);
+  const auto only = rule == nullptr ? std::nullopt : FindOnlySoftware(*rule);
+  if (only) {
+    StartRouted(std::move(call), std::move(metadata), only, answer);
+    return;
   }
+  RejectCall(metadata, error_kind::stream_origin_unknown, kUnavailable, answer);
 }
 
 // The coordinators may know what began the stream, or may be about to be told.
@@ -396,8 +427,8 @@
         if (std::exchange(waiting->is_started, true) || answer->is_final()) {
           return;
         }
-        RejectCall(waiting->metadata, error_kind::stream_origin_unknown,
-                   kUnavailable, answer);
+        StartUnknown(std::move(waiting->call), std::move(waiting->metadata),
+                     answer);
       });
   origins_.Ask(
       key,
--- a/main/gateway_daemon.h
+++ b/main/gateway_daemon.h
@@ -93,9 +93,18 @@
                    request_metadata metadata,
                    std::optional<stream_origin> origin,
                    const response_pointer& answer) -> void;
-  // Returns what began a stream, as far as this gateway knows.
+  // Returns what began a stream, as far as this gateway is sure of it.
   auto FindOrigin(const route_rule& rule, const request_metadata& metadata)
       -> std::optional<stream_origin>;
+  // Returns the only software version that the present servers of the rule's
+  // only service have, and those that have gone lately.
+  auto FindOnlySoftware(const route_rule& rule) const
+      -> std::optional<stream_origin>;
+  // Starts a request whose stream nobody knows the origin of, if there is only
+  // one version that can have begun it, or rejects it.
+  auto StartUnknown(incoming_request call,
+                    request_metadata metadata,
+                    const response_pointer& answer) -> void;
   auto ApplyOrigins(const schema::sync_answer& answer, bool is_new_source)
       -> void;
   // Holds a request for a short time that arrives before the first
--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -302,6 +302,7 @@
   if (knows_origins_) {
     AnswerOrigins(request, reply);
   }
+  reply.set_grants_permits(is_sure_leader_);
   reply.set_gateway_count(1);
   reply.set_served_gateways(1);
   auto head = http_head();
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -100,6 +100,7 @@
   bool is_coordinator_silent_ = false;
   stream_origin_table origins_;  // as reported by gateways
   bool knows_origins_ = true;
+  bool is_sure_leader_ = false;
   // Gateways before `Restart`, kept because their timers still refer to them.
   std::vector<std::unique_ptr<gateway_daemon>> stopped_gateways_;
   std::deque<server_script> common_scripts_;
@@ -150,6 +151,8 @@
   }
   // While unset, the coordinator neither learns nor tells what began streams.
   auto SetKnowsOrigins(bool knows) -> void { knows_origins_ = knows; }
+  // The coordinator is sure to lead, and its registry is current.
+  auto SetSureLeader(bool is_sure) -> void { is_sure_leader_ = is_sure; }
   // Tells the coordinator what began the stream of a request.
   auto AddOrigin(const std::string& request,
                  const std::string& service,
--- a/tests/stream_version_test.cc
+++ b/tests/stream_version_test.cc
@@ -169,6 +169,34 @@
   BOOST_TEST(CountReceived(site) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(with_one_version_a_stream_of_unknown_origin_goes_on) {
+  auto site = gateway_harness(2);
+  site.SetKnowsOrigins(false);
+  site.SetSureLeader(true);
+  site.RunFor(std::chrono::milliseconds(200));
+  site.AddCommonScript(MakeStream(3, 2, true));
+  BOOST_TEST(TakeUp(site, "first", "second")->is_complete);
+  site.AddCommonScript(MakeStream(3, 2, true));
+  const auto unnamed =
+      site.Send(MakeRequest("resume", "third", "Last-Event-Id: 2\r\n"));
+  RunUntilEnded(site, unnamed);
+  BOOST_TEST(unnamed->is_complete);
+  // A server of another version that has gone may have begun it.
+  site.SetSoftware(1, "v2");
+  site.SetLeaving(1);
+  BOOST_TEST(IsTrueRefusal(*TakeUp(site, "unheard", "fourth")));
+  BOOST_TEST(CountReceived(site) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_gateway_that_is_cut_off_trusts_no_single_version) {
+  auto site = gateway_harness(2);
+  site.SetKnowsOrigins(false);
+  const auto unnamed =
+      site.Send(MakeRequest("resume", "first", "Last-Event-Id: 2\r\n"));
+  RunUntilEnded(site, unnamed);
+  BOOST_TEST(IsTrueRefusal(*unnamed));
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_whose_version_is_gone_is_refused) {
   auto site = gateway_harness(2);
   site.AddOrigin("first", "s", "v0");
