--- a/tools/ebony_bench.cc
+++ b/tools/ebony_bench.cc
@@ -17,7 +17,10 @@
 #include "codec/entry_codec.h"
 #include "codec/link_codec.h"
 #include "codec/record_codec.h"
+#include "codec/site_codec.h"
+#include "control/permit_allocator.h"
 #include "control/placement.h"
+#include "core/stream_origin_table.h"
 #include "entry/claim_table.h"
 #include "entry/request_coordinator.h"
 
@@ -296,6 +299,73 @@
   PrintFit("claims, memory, MiB", "MiB", memory, 180000);
 }
 
+// The leader's work for one sync of a daemon that asks for permits, and the
+// bytes of a row each way.
+auto MeasurePermitSlopes() -> void {
+  auto cost = std::vector<sample>();
+  const auto vm = vm_name("asks");
+  const auto now = mono_time(std::chrono::seconds(1000));
+  for (const auto servers : {1U, 10U, 50U, 200U}) {
+    auto allocator = permit_allocator();
+    auto reports = std::vector<permit_report>(servers);
+    for (auto i = 0U; i < servers; ++i) {
+      reports[i].id = backend_name("server-" + std::to_string(i));
+      reports[i].waiting = 1;
+      allocator.SetLimit(reports[i].id, request_rate(1600), now);
+      for (auto daemon = 0; daemon < 7; ++daemon) {
+        allocator.Request(vm_name("d" + std::to_string(daemon)), reports[i],
+                          now);
+      }
+    }
+    cost.push_back({static_cast<double>(servers), MeasureUs(200, [&] {
+                      for (const auto& report : reports) {
+                        allocator.Request(vm, report, now);
+                      }
+                      allocator.Take(vm, now);
+                    })});
+  }
+  auto request = schema::permit_request_row();
+  request.set_number(5000);
+  request.set_born_ms(1796374646990);
+  request.set_waiting(3);
+  request.set_expected(2);
+  auto permit = schema::permit_row();
+  permit.set_number(5000);
+  permit.set_permits(1);
+  std::printf("\nper limited server that a daemon asks for\n");
+  PrintFit("request and grant of permits, us", "us", cost, 50);
+  std::printf("row of a request %zu B, of a permit %zu B\n",
+              request.ByteSizeLong(), permit.ByteSizeLong());
+}
+
+// The work and memory for each stream whose origin a daemon remembers.
+auto MeasureOriginSlopes() -> void {
+  auto cost = std::vector<sample>();
+  auto memory = std::vector<sample>();
+  const auto origin = stream_origin{service_name("s"), software_version("v1")};
+  const auto now = mono_time(std::chrono::seconds(1000));
+  for (const auto streams : {1000U, 20000U, 60000U, 180000U}) {
+    const auto before = GetUsedMib();
+    auto table = stream_origin_table();
+    auto number = std::uint64_t{0};
+    const auto key = [&number] {
+      return stream_key(++number * 0x9E3779B97F4A7C15ULL);
+    };
+    for (auto i = 0U; i < streams; ++i) {
+      table.Add(key(), origin, now);
+    }
+    memory.push_back({static_cast<double>(streams), GetUsedMib() - before});
+    cost.push_back({static_cast<double>(streams),
+                    MeasureUs(1000, [&] { table.Add(key(), origin, now); })});
+  }
+  auto row = schema::begun_streams_row();
+  AddBegunStreams(row, origin, std::vector<stream_key>(100));
+  std::printf("\nper stream remembered\n");
+  PrintFit("origin added, us", "us", cost, 180000);
+  PrintFit("origins, memory, MiB", "MiB", memory, 180000);
+  std::printf("report of 100 streams %zu B\n", row.ByteSizeLong());
+}
+
 auto MeasureMessages() -> void {
   auto poll = schema::link_frame();
   poll.set_from("e123");
@@ -358,6 +428,8 @@
   ebony::MeasureFleetSlopes();
   ebony::MeasureCandidateSlopes();
   ebony::MeasureClaimSlopes();
+  ebony::MeasurePermitSlopes();
+  ebony::MeasureOriginSlopes();
   ebony::MeasureMessages();
   return 0;
 }
