--- a/tests/request_limit_test.cc
+++ b/tests/request_limit_test.cc
@@ -62,7 +62,6 @@
   const auto one = site.Send(MakeRequest("plain", "one"));
   const auto two = site.Send(MakeRequest("plain", "two"));
   site.RunUntil([&] { return one->is_complete && two->is_complete; });
-  ScriptLimit(*site.servers[0], kRequests, "0.5");
 }
 
 }  // namespace
@@ -157,6 +156,7 @@
 BOOST_AUTO_TEST_CASE(an_unreadable_limit_leaves_the_former_one_in_force) {
   auto site = gateway_harness(1);
   SendTwoAtOnce(site, MakeLimitedResponse("0.5"), MakeLimitedResponse("many"));
+  ScriptLimit(*site.servers[0], kRequests, "0.5");
   CheckLimited(*site.servers[0], SendInTurn(site, 20, "r"));
   const auto rendered = site.get_counters().Render();
   BOOST_TEST(rendered.find("ebony_unreadable_limits_total 1") !=
@@ -166,6 +166,10 @@
 BOOST_AUTO_TEST_CASE(an_error_without_a_limit_does_not_end_it) {
   auto site = gateway_harness(1);
   SendTwoAtOnce(site, MakeLimitedResponse("0.5"), MakeResponse(500, "failed"));
+  for (auto i = 0; i < kRequests; ++i) {
+    site.servers[0]->AddScript(
+        {{MakeResponse(500, "failed")}, server_script::ending::keep});
+  }
   CheckLimited(*site.servers[0], SendInTurn(site, 20, "r"));
 }
 
