--- a/core/request_metadata.h
+++ b/core/request_metadata.h
@@ -42,6 +42,10 @@
   std::optional<duration> deadline;  // relative to the arrival of the request
 };
 
+// Returns the ids of the segments in hexadecimal, separated by commas.
+auto GetSegmentsText(const std::vector<prompt_segment>& segments)
+    -> std::string;
+
 // Properties of a backend server's answer, apart from its body.
 struct server_answer {
   caller_request_id echoed_id;  // empty when the server sent none
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -178,6 +178,7 @@
       {{"request", metadata_.id.get()},
        {"route", rule_.name.get()},
        {"model", metadata_.model.get()},
+       {"segments", GetSegmentsText(metadata_.prompt_segments)},
        {"backend", server_.get()},
        {"software", server.software.get()},
        {"resumes", metadata_.resumes.value_or(caller_request_id()).get()},
