--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -116,6 +116,10 @@
                                  std::string name,
                                  std::deque<server_script>& common_scripts)
     : loop_(loop), common_scripts_(common_scripts), id(std::move(name)) {
+  Listen("127.0.0.1:0");
+}
+
+auto scripted_server::Listen(const std::string& address) -> void {
   const auto expect_request = [](const std::shared_ptr<connection>& item) {
     item->request = std::make_shared<received_request>();
     auto hooks = http_reader::hooks();
@@ -157,8 +161,28 @@
     };
     item->socket->Adopt(fd, std::move(hooks));
   };
-  acceptor_ = std::make_unique<stream_acceptor>(loop_, host_port("127.0.0.1:0"),
-                                                on_accept);
+  acceptor_ =
+      std::make_unique<stream_acceptor>(loop_, host_port(address), on_accept);
+}
+
+auto scripted_server::Crash() -> void {
+  is_crashed_ = true;
+  acceptor_->Stop();
+  for (const auto& item : std::exchange(server_connections_, {})) {
+    item->socket->Reset();
+  }
+}
+
+auto scripted_server::StartAgain() -> void {
+  is_crashed_ = false;
+  Listen("127.0.0.1:0");
+}
+
+auto scripted_server::HoldsCrashingSegment(
+    const received_request& request) const -> bool {
+  const auto* segments = request.head.Find("Ebonythread-Prompt-Prefix");
+  return !crashing_segment_.empty() && segments != nullptr &&
+         segments->find(crashing_segment_ + ":") != std::string::npos;
 }
 
 auto scripted_server::NextScript() -> server_script {
@@ -173,6 +197,15 @@
 }
 
 auto scripted_server::Answer(connection& item) -> void {
+  if (HoldsCrashingSegment(*item.request)) {
+    item.socket->Send(ReplaceId(
+        "HTTP/1.1 200 OK\r\nEbonythread-Request-Id: $ID\r\n"
+        "Ebonythread-Response-Seal: s\r\nContent-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n",
+        item.request->id));
+    Crash();
+    return;
+  }
   const auto script = NextScript();
   for (const auto& piece : script.writes) {
     item.socket->Send(ReplaceId(piece, item.request->id));
@@ -343,6 +376,20 @@
   UpdateBackend(server, [](backend_status& status) { ++status.start_time_ms; });
 }
 
+auto gateway_harness::RestartCrashed() -> void {
+  for (auto number = std::size_t{0}; number < servers.size(); ++number) {
+    auto& server = *servers[number];
+    if (!server.is_crashed()) {
+      continue;
+    }
+    server.StartAgain();
+    UpdateBackend(number, [&server](backend_status& status) {
+      ++status.start_time_ms;
+      status.address = server.GetAddress();
+    });
+  }
+}
+
 auto gateway_harness::SetEngine(std::size_t server,
                                 const std::vector<std::string>& models,
                                 std::uint32_t slots) -> void {
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -47,8 +47,14 @@
   std::deque<server_script> scripts_;
   std::vector<std::shared_ptr<connection>> server_connections_;
 
+  // A request with this prompt segment crashes the server; empty: none does.
+  std::string crashing_segment_;
+  bool is_crashed_ = false;
+
   auto NextScript() -> server_script;
   auto Answer(connection& item) -> void;
+  auto Listen(const std::string& address) -> void;
+  auto HoldsCrashingSegment(const received_request& request) const -> bool;
 
   std::unique_ptr<stream_acceptor> acceptor_;
   std::vector<std::shared_ptr<received_request>> received_;
@@ -65,6 +71,16 @@
   auto GetAddress() const -> host_port;
   // Stops accepting connections.
   auto Stop() -> void { acceptor_->Stop(); }
+  // From now on, a request whose prompt has this segment, in hexadecimal,
+  // crashes the server right after the head of its answer.
+  auto CrashOn(const std::string& segment) -> void {
+    crashing_segment_ = segment;
+  }
+  // Resets all connections and stops listening.
+  auto Crash() -> void;
+  // Listens again, at another port.
+  auto StartAgain() -> void;
+  auto is_crashed() const -> bool { return is_crashed_; }
   auto get_received() const
       -> const std::vector<std::shared_ptr<received_request>>& {
     return received_;
@@ -137,6 +153,8 @@
   auto SetSoftware(std::size_t server, const std::string& version) -> void;
   // The server starts again under its name.
   auto RestartServer(std::size_t server) -> void;
+  // The same for all servers that have crashed.
+  auto RestartCrashed() -> void;
   // Moves a server to the engine service `e` with these models loaded.
   auto SetEngine(std::size_t server,
                  const std::vector<std::string>& models,
