Requests with a prompt segment that crashes servers stop reaching them

Cause: nothing that survives one attempt, and nothing that several gateways know, says which requests were running when a server ended, so each request was judged by itself. Class: a failure that its cause carries from server to server, treated as a fault of each server.

Ruled out: our own retries (one attempt), load, orders.

Change: when a connection breaks off, the gateway asks the server for another one; if nothing listens, the server has crashed. A crash accuses the segments of the requests that may have begun there and that no request has proven sound lately. crash_ledger keeps these records; copies on gateways, relays and the leader converge in any order and travel with the syncs. A suspected segment is tried by one request at a time over all gateways (trial_allocator lends it out), and cleared by the first that runs. Four servers, under three requests, in two rounds that followed each other prove it; requests with it are then rejected for five minutes, doubled by each later crash. crash_guard decides, at the one place through which first attempts, retries, resumed, taken up and queued requests go to a server.

Why it holds up no others: crashes without a cause in requests come together or far apart, and each request that runs clears; an organisation is rejected only if its own requests crashed servers, and only for segments that were accused alone or stand beside another without proof.

--- a/codec/site_codec.cc
+++ b/codec/site_codec.cc
@@ -135,6 +135,68 @@
   }
 }
 
+auto ToSchema(const crash_report& report) -> schema::crash_record_row {
+  const auto& record = report.record;
+  auto row = schema::crash_record_row();
+  row.set_key(record.key.get());
+  row.set_clearances(record.clearances);
+  row.set_rounds(record.rounds);
+  row.set_begun_rounds(record.begun_rounds);
+  for (const auto& run : record.runs.get_values()) {
+    row.add_runs(run.get());
+  }
+  for (const auto& request : record.requests.get_values()) {
+    row.add_requests(request.get());
+  }
+  for (const auto& organisation : record.organisations.get_values()) {
+    row.add_organisations(organisation.get());
+  }
+  row.set_isolated(record.is_isolated);
+  const auto age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(report.age);
+  row.set_age_ms(
+      static_cast<std::uint64_t>(std::max<std::int64_t>(0, age.count())));
+  return row;
+}
+
+auto ToDomain(const schema::crash_record_row& row) -> crash_report {
+  auto report = crash_report();
+  auto& record = report.record;
+  record.key = suspect_key(row.key());
+  record.clearances = row.clearances();
+  record.rounds = row.rounds();
+  record.begun_rounds = row.begun_rounds();
+  for (const auto run : row.runs()) {
+    record.runs.Add(server_run(run));
+  }
+  for (const auto request : row.requests()) {
+    record.requests.Add(request_mark(request));
+  }
+  for (const auto organisation : row.organisations()) {
+    record.organisations.Add(organisation_mark(organisation));
+  }
+  record.is_isolated = row.isolated();
+  report.age = std::chrono::milliseconds(row.age_ms());
+  return report;
+}
+
+auto AddTrials(schema::trial_row& row,
+               const vm_name& vm,
+               const std::vector<suspect_key>& keys) -> void {
+  row.set_vm(vm.get());
+  for (const auto& key : keys) {
+    row.add_keys(key.get());
+  }
+}
+
+auto GetTrialKeys(const schema::trial_row& row) -> std::vector<suspect_key> {
+  auto keys = std::vector<suspect_key>();
+  for (const auto key : row.keys()) {
+    keys.emplace_back(key);
+  }
+  return keys;
+}
+
 auto ToSchema(const backend_record& record, mono_time now)
     -> schema::backend_status_row {
   const auto& status = record.status;
--- a/codec/site_codec.h
+++ b/codec/site_codec.h
@@ -7,6 +7,7 @@
 
 #include "core/backend_index.h"
 #include "core/backend_registry.h"
+#include "core/crash_ledger.h"
 #include "core/permit_report.h"
 #include "core/service_samples.h"
 #include "core/stream_origin.h"
@@ -56,6 +57,15 @@
 auto ForEachBegunStream(const schema::begun_streams_row& row,
                         const origin_row_callback& callback) -> void;
 
+auto ToSchema(const crash_report& report) -> schema::crash_record_row;
+auto ToDomain(const schema::crash_record_row& row) -> crash_report;
+
+// Appends the keys of one gateway.
+auto AddTrials(schema::trial_row& row,
+               const vm_name& vm,
+               const std::vector<suspect_key>& keys) -> void;
+auto GetTrialKeys(const schema::trial_row& row) -> std::vector<suspect_key>;
+
 // Called with a backend server, its requests in flight and their tokens.
 using load_row_callback =
     std::function<void(const backend_name&, std::uint32_t, std::uint64_t)>;
--- a/core/error_kind.h
+++ b/core/error_kind.h
@@ -30,6 +30,8 @@
   stream_cut,
   stream_origin_unknown,
   stream_version_gone,
+  trial_pending,
+  crashes_servers,
   claim_unavailable,
   not_leader,
   not_in_force,
--- /dev/null
+++ b/drivers/connection_check.h
@@ -0,0 +1,26 @@
+#ifndef EBONY_DRIVERS_CONNECTION_CHECK_H_
+#define EBONY_DRIVERS_CONNECTION_CHECK_H_
+
+#include <functional>
+
+#include "core/ids.h"
+#include "drivers/event_loop.h"
+
+namespace ebony {
+
+enum class connection_state {
+  accepted,  // something listens at the address
+  refused,   // nothing does
+  unknown,   // no answer within the time limit
+};
+
+// Opens a connection to `address`, sends nothing on it and closes it. `on_done`
+// is called once, after this call has returned.
+auto CheckConnection(event_loop& loop,
+                     const host_port& address,
+                     duration time_limit,
+                     std::function<void(connection_state)> on_done) -> void;
+
+}  // namespace ebony
+
+#endif  // EBONY_DRIVERS_CONNECTION_CHECK_H_
--- /dev/null
+++ b/entry/crash_guard.cc
@@ -0,0 +1,215 @@
+#include "entry/crash_guard.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/hashing.h"
+
+namespace ebony {
+
+namespace {
+
+// Keeps the hashes of different kinds of values apart.
+constexpr std::uint64_t kSegmentSeed = 1;
+constexpr std::uint64_t kRequestSeed = 2;
+constexpr std::uint64_t kOrganisationSeed = 3;
+
+auto HashNumber(std::uint64_t number, std::uint64_t seed) -> std::uint64_t {
+  return HashBytes({reinterpret_cast<const char*>(&number), sizeof(number)},
+                   seed);
+}
+
+}  // namespace
+
+auto GetSuspects(const request_metadata& metadata) -> request_suspects {
+  auto suspects = request_suspects();
+  suspects.organisation =
+      organisation_mark(HashBytes(metadata.host, kOrganisationSeed));
+  if (metadata.prompt_segments.empty()) {
+    return suspects;
+  }
+  const auto last = std::prev(metadata.prompt_segments.end());
+  suspects.mark = request_mark(HashNumber(last->id, kRequestSeed));
+  for (auto item = metadata.prompt_segments.begin(); item != last; ++item) {
+    suspects.keys.emplace_back(HashNumber(item->id, kSegmentSeed));
+  }
+  return suspects;
+}
+
+auto crash_guard::IsUnproven(suspect_key key, mono_time now) const -> bool {
+  const auto* record = ledger_.Find(key);
+  const auto rounds = record == nullptr ? 0 : record->rounds;
+  return rounds > 1 || !proven_.Contains(key, now);
+}
+
+// A quarantine applies to organisations whose own requests crashed servers. As
+// long as all of these had other keys without proof, it applies to requests
+// that have such keys as well: without them, the key may be sound.
+auto crash_guard::Judge(suspect_key key,
+                        const request_suspects& suspects,
+                        mono_time now) const -> suspicion {
+  const auto known = ledger_.Judge(key, now);
+  if (known == suspicion::none) {
+    return known;
+  }
+  if (known == suspicion::suspected) {
+    return IsUnproven(key, now) ? known : suspicion::none;
+  }
+  const auto& record = *ledger_.Find(key);
+  const auto is_concerned =
+      record.organisations.is_full() ||
+      record.organisations.Contains(suspects.organisation);
+  const auto is_only_key = GetUnproven(suspects, now).size() <= 1;
+  const auto applies = is_concerned && (record.is_isolated || !is_only_key);
+  return applies ? known : suspicion::suspected;
+}
+
+auto crash_guard::MayTry(suspect_key key, mono_time now) const -> bool {
+  if (on_trial_.contains(key)) {
+    return false;
+  }
+  return granted_.contains(key) || now - last_contact_ > kMaxContactAge;
+}
+
+auto crash_guard::Check(const request_suspects& suspects, mono_time now)
+    -> guard_decision {
+  auto suspected = std::vector<suspect_key>();
+  for (const auto key : suspects.keys) {
+    switch (Judge(key, suspects, now)) {
+      case suspicion::none:
+        break;
+      case suspicion::suspected:
+        suspected.push_back(key);
+        break;
+      case suspicion::quarantined:
+        return {guard_verdict::quarantined,
+                ledger_.GetQuarantineLeft(key, now)};
+    }
+  }
+  auto decision = guard_decision();
+  for (const auto key : suspected) {
+    if (!MayTry(key, now)) {
+      wanted_[key] = now;
+      decision.verdict = guard_verdict::await_trial;
+    }
+  }
+  return decision;
+}
+
+auto crash_guard::OnSent(const request_suspects& suspects, mono_time now)
+    -> attempt_evidence {
+  auto evidence = attempt_evidence();
+  for (const auto key : suspects.keys) {
+    const auto* record = ledger_.Find(key);
+    if (record == nullptr || record->rounds == 0) {
+      continue;
+    }
+    evidence.known.push_back(
+        {key, record->clearances, record->rounds, record->begun_rounds});
+    const auto is_trial = Judge(key, suspects, now) == suspicion::suspected;
+    if (is_trial && on_trial_.insert(key).second) {
+      evidence.on_trial.push_back(key);
+      wanted_.erase(key);
+    }
+  }
+  return evidence;
+}
+
+auto crash_guard::EndTrial(attempt_evidence& evidence) -> void {
+  for (const auto key : std::exchange(evidence.on_trial, {})) {
+    on_trial_.erase(key);
+  }
+}
+
+auto crash_guard::GetUnproven(const request_suspects& suspects,
+                              mono_time now) const -> std::vector<suspect_key> {
+  auto keys = std::vector<suspect_key>();
+  for (const auto key : suspects.keys) {
+    if (IsUnproven(key, now)) {
+      keys.push_back(key);
+    }
+  }
+  return keys;
+}
+
+auto crash_guard::OnRan(const request_suspects& suspects, mono_time now)
+    -> std::vector<suspect_key> {
+  auto cleared = std::vector<suspect_key>();
+  for (const auto key : suspects.keys) {
+    proven_.Add(key, now);
+    if (ledger_.Clear(key, now)) {
+      cleared.push_back(key);
+    }
+  }
+  return cleared;
+}
+
+auto crash_guard::Accuse(suspect_key key,
+                         const attempt_evidence& evidence,
+                         crash_record record,
+                         mono_time now) -> void {
+  const auto* present = ledger_.Find(key);
+  record.key = key;
+  record.clearances = present == nullptr ? 0 : present->clearances;
+  record.rounds = 1;
+  record.begun_rounds = evidence.has_begun ? 1 : 0;
+  for (const auto& known : evidence.known) {
+    // A clearance since then starts the count anew.
+    if (known.key == key && known.clearances == record.clearances) {
+      record.rounds += known.rounds;
+      record.begun_rounds += known.begun_rounds;
+    }
+  }
+  ledger_.Add(record, now);
+}
+
+// If requests with each of the keys ran lately, none is accused, but all have
+// to prove themselves again: one of them may have turned bad.
+auto crash_guard::OnServerCrashed(const request_suspects& suspects,
+                                  const attempt_evidence& evidence,
+                                  server_run run,
+                                  mono_time now) -> std::vector<suspect_key> {
+  auto accused = GetUnproven(suspects, now);
+  if (accused.empty()) {
+    for (const auto key : suspects.keys) {
+      proven_.Doubt(key, now);
+    }
+    return accused;
+  }
+  std::stable_partition(accused.begin(), accused.end(), [this](auto key) {
+    return ledger_.Find(key) != nullptr;
+  });
+  auto record = crash_record();
+  record.is_isolated = accused.size() == 1;
+  if (evidence.has_begun) {
+    record.runs.Add(run);
+  }
+  record.requests.Add(suspects.mark);
+  record.organisations.Add(suspects.organisation);
+  accused.resize(std::min(accused.size(), kMaxAccused));
+  for (const auto key : accused) {
+    Accuse(key, evidence, record, now);
+  }
+  return accused;
+}
+
+auto crash_guard::TakeWanted(mono_time now) -> std::vector<suspect_key> {
+  std::erase_if(wanted_, [now](const auto& item) {
+    return now - item.second > kWantedTime;
+  });
+  auto keys = std::vector<suspect_key>(on_trial_.begin(), on_trial_.end());
+  for (const auto& [key, asked_at] : wanted_) {
+    if (!on_trial_.contains(key)) {
+      keys.push_back(key);
+    }
+  }
+  return keys;
+}
+
+auto crash_guard::OnContact(std::set<suspect_key> granted, mono_time now)
+    -> void {
+  granted_ = std::move(granted);
+  last_contact_ = now;
+}
+
+}  // namespace ebony
--- a/entry/server_selector.cc
+++ b/entry/server_selector.cc
@@ -38,6 +38,8 @@
       return "absent";
     case server_verdict::no_version:
       return "no_version";
+    case server_verdict::await_trial:
+      return "trial";
     case server_verdict::no_server:
       break;
   }
--- a/entry/server_selector.h
+++ b/entry/server_selector.h
@@ -66,10 +66,11 @@
 
 enum class server_verdict {
   chosen,
-  busy,        // every server that could execute the request is at its limit
-  no_replica,  // no server holds the model or adapter
-  no_server,   // the service has no server
-  no_version,  // no server runs the required software version
+  busy,         // every server that could execute the request is at its limit
+  no_replica,   // no server holds the model or adapter
+  no_server,    // the service has no server
+  no_version,   // no server runs the required software version
+  await_trial,  // not offered to any: a request like it is on trial
 };
 
 // Returns the name used in log lines.
--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -1,6 +1,7 @@
 #include "main/coordinator_daemon.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 #include <variant>
 
@@ -36,6 +37,11 @@
   return options;
 }
 
+auto MakeRandomNumber() -> std::uint64_t {
+  auto source = std::random_device();
+  return std::uniform_int_distribution<std::uint64_t>()(source);
+}
+
 }  // namespace
 
 coordinator_daemon::coordinator_daemon(site_settings settings,
@@ -49,6 +55,7 @@
       pool_(loop),
       raft_(settings_, loop, pool_, log, counters, MakeStateMachine()),
       registry_(backend_registry_options()),
+      crash_desk_(MakeRandomNumber()),
       order_executor_(
           settings_,
           loop,
@@ -358,6 +365,7 @@
       followers_.clear();
       load_totals_.Clear();
       permit_allocator_.Restart(loop_.get_now());
+      crash_desk_.StartLeading(loop_.get_now());
       limits_revision_ = 0;
       drain_acks_.Clear();
       order_executor_.StartLeading(raft_.get_term().get());
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -21,6 +21,7 @@
 #include "drivers/http_listener.h"
 #include "drivers/http_pool.h"
 #include "entry/stream_origins.h"
+#include "main/crash_desk.h"
 #include "main/order_executor.h"
 #include "main/raft_node.h"
 #include "main/sync_relay.h"
@@ -58,6 +59,7 @@
   // What began each stream, as reported by all gateways to the leader, or by
   // the gateways that a relay serves.
   stream_origins origins_;
+  crash_desk crash_desk_;
   std::string reported_leader_;  // that was sent all origins
   // Revision of the registry whose limits the allocator has.
   std::uint64_t limits_revision_ = 0;
@@ -134,6 +136,9 @@
   // Passes the limits in the registry on to the permit allocator.
   auto UpdateLimits() -> void;
   auto FillPermits(const vm_name& vm, schema::sync_answer& reply) -> void;
+  auto GetDeskRole() -> desk_role;
+  auto HandleCrashes(const schema::sync_request& request,
+                     schema::sync_answer& reply) -> void;
   auto RecordBegunStreams(const schema::sync_request& request) -> void;
   // Fills in what is known of the streams that the request asks for.
   auto FillOrigins(const schema::sync_request& request,
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -196,6 +196,28 @@
   }
 }
 
+auto coordinator_daemon::GetDeskRole() -> desk_role {
+  if (!raft_.is_leader()) {
+    return desk_role::relay;
+  }
+  return raft_.IsConfirmedLeader() ? desk_role::leader
+                                   : desk_role::unsure_leader;
+}
+
+auto coordinator_daemon::HandleCrashes(const schema::sync_request& request,
+                                       schema::sync_answer& reply) -> void {
+  const auto now = loop_.get_now();
+  crash_desk_.HandleSync(
+      request, GetDeskRole(),
+      [this](const crash_record& record) { LogCrashRecord(log_, record); }, now,
+      reply);
+  metrics_.Set("ebony_crash_records",
+               static_cast<double>(crash_desk_.get_ledger().get_size()));
+  metrics_.Set(
+      "ebony_quarantined_keys",
+      static_cast<double>(crash_desk_.get_ledger().CountQuarantined(now)));
+}
+
 // Only a relay has somebody to pass reports and questions on to.
 auto coordinator_daemon::RecordBegunStreams(const schema::sync_request& request)
     -> void {
@@ -369,6 +391,7 @@
   if (is_leader || (is_gateway && relay_.CanServeGateways(now))) {
     RecordBegunStreams(request);
     FillOrigins(request, reply);
+    HandleCrashes(request, reply);
   }
   if (is_leader && is_gateway) {
     FillGatewayAnswer(request, reply);
@@ -384,7 +407,8 @@
 }
 
 auto coordinator_daemon::GetLeaderSyncInterval() const -> duration {
-  if (relay_.HasUnservedDemand() || origins_.HasQuestions()) {
+  if (relay_.HasUnservedDemand() || origins_.HasQuestions() ||
+      crash_desk_.IsUrgent()) {
     return kUrgentSyncInterval;
   }
   return relay_.HasGateways() ? kRelaySyncInterval : kIdleSyncInterval;
@@ -414,6 +438,7 @@
     last_gateway_request_ = now;
   }
   relay_.FillLeaderRequest(request, now);
+  crash_desk_.FillLeaderRequest(request, now);
   const auto streams = origins_.TakeReport(now);
   for (const auto& [origin, keys] : streams.begun) {
     AddBegunStreams(*request.add_begun_streams(), origin, keys);
@@ -444,6 +469,10 @@
   }
   const auto now = loop_.get_now();
   relay_.ApplyLeaderAnswer(reply, now);
+  crash_desk_.ApplyLeaderAnswer(
+      reply,
+      [this](const crash_record& record) { LogCrashRecord(log_, record); },
+      now);
   origins_.OnReportAnswered(
       std::exchange(reported_leader_, reply.roster_source()) !=
       reply.roster_source());
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -62,6 +62,8 @@
       pool_(loop),
       permits_(server_permits_options(),
                [this](std::uint64_t bound) { return random_() % bound; }),
+      crash_uplink_(guard_.get_ledger()),
+      verifier_(loop, log, counters),
       selector_(server_selector_options(),
                 registry_.get_registry(),
                 permits_,
@@ -94,9 +96,12 @@
       demand_,
       permits_,
       origins_,
+      guard_,
+      verifier_,
       first_events_,
       [this](std::uint64_t bound) { return random_() % bound; },
       [this] { link_.SyncSoon(); },
+      [this] { link_.SyncSoon(); },
       [this] { ScheduleDispatch(); },
       [this] {
         return is_draining_ &&
@@ -143,6 +148,10 @@
   for (const auto& key : streams.questions) {
     request.add_origin_questions(key.get());
   }
+  crash_uplink_.FillRequest(request, now);
+  AddTrials(*request.add_trials(), settings_.vm, guard_.TakeWanted(now));
+  metrics_.Set("ebony_quarantined_keys",
+               static_cast<double>(guard_.get_ledger().CountQuarantined(now)));
   metrics_.Set("ebony_limited_servers",
                static_cast<double>(permits_.get_limited_servers()));
   for (const auto& [key, count] : demand_) {
@@ -237,6 +246,7 @@
   selector_.SetGatewayCount(std::size_t{answer.gateway_count()});
   retries_.SetGatewayCount(std::size_t{answer.gateway_count()});
   ApplyPermits(answer);
+  ApplyCrashes(answer);
   if (!deferred_.empty()) {
     RunDeferredCalls();
   }
@@ -255,6 +265,23 @@
   }
 }
 
+auto gateway_daemon::ApplyCrashes(const schema::sync_answer& answer) -> void {
+  const auto now = loop_.get_now();
+  crash_uplink_.ApplyAnswer(
+      answer,
+      [this](const crash_record& record) { LogCrashRecord(log_, record); },
+      now);
+  if (!answer.grants_permits()) {
+    return;
+  }
+  auto held = std::set<suspect_key>();
+  for (const auto& row : answer.trials()) {
+    const auto keys = GetTrialKeys(row);
+    held.insert(keys.begin(), keys.end());
+  }
+  guard_.OnContact(std::move(held), now);
+}
+
 auto gateway_daemon::ApplyPermits(const schema::sync_answer& answer) -> void {
   const auto now = loop_.get_now();
   if (answer.grants_permits()) {
@@ -560,6 +587,10 @@
   is_drained_ = true;
 }
 
+auto gateway_daemon::CountSuspects() const -> std::size_t {
+  return guard_.get_ledger().get_size();
+}
+
 auto gateway_daemon::Reload(const site_settings& settings) -> void {
   link_.AddSeeds(settings.seeds);
 }
--- a/main/gateway_daemon.h
+++ b/main/gateway_daemon.h
@@ -16,15 +16,18 @@
 #include "drivers/event_loop.h"
 #include "drivers/http_listener.h"
 #include "drivers/http_pool.h"
+#include "entry/crash_guard.h"
 #include "entry/pending_queue.h"
 #include "entry/retry_allowance.h"
 #include "entry/route_table.h"
 #include "entry/server_permits.h"
 #include "entry/server_selector.h"
 #include "entry/stream_origins.h"
+#include "main/crash_uplink.h"
 #include "main/gateway_link.h"
 #include "main/proxy_session.h"
 #include "main/registry_replica.h"
+#include "main/run_verifier.h"
 
 namespace ebony {
 
@@ -40,6 +43,9 @@
   registry_replica registry_;
   server_permits permits_;
   stream_origins origins_;
+  crash_guard guard_;
+  crash_uplink crash_uplink_;
+  run_verifier verifier_;
   software_history software_;
   server_selector selector_;
   retry_allowance retries_;
@@ -75,6 +81,7 @@
   // Returns true if the answer is the first of another leader or relay.
   auto ApplyRegistry(const schema::sync_answer& answer) -> bool;
   auto ApplyPermits(const schema::sync_answer& answer) -> void;
+  auto ApplyCrashes(const schema::sync_answer& answer) -> void;
   auto OnBackendChanged(const backend_record& record, mono_time now) -> void;
   auto OnCall(incoming_request call, const response_pointer& answer) -> void;
   auto StartSession(incoming_request call,
@@ -137,6 +144,8 @@
   auto Drain() -> void;
   // Adds new seeds. Other settings change only with a restart.
   auto Reload(const site_settings& settings) -> void;
+  // Returns the keys that have crashed servers, as far as this gateway knows.
+  auto CountSuspects() const -> std::size_t;
   // Returns true once the stop is complete and the program may exit.
   auto is_drained() const -> bool { return is_drained_; }
 };
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -31,6 +31,9 @@
 constexpr double kMaxRequestsOfIdleServer = 2;
 // Share of its slots below which a server runs a request without delay.
 constexpr double kMaxUncongestedLoad = 0.5;
+// A stream that has gone on for this long after its first bytes has not crashed
+// its server by beginning.
+constexpr duration kProofTime = std::chrono::milliseconds(250);
 constexpr int kOk = 200;
 constexpr int kFirstNonSuccess = 300;  // lowest status that is not a success
 
@@ -51,6 +54,7 @@
       call_(std::move(call)),
       answer_(std::move(answer)),
       metadata_(std::move(metadata)),
+      suspects_(GetSuspects(metadata_)),
       origin_(std::move(origin)),
       stream_(rule.retry == retry_policy::resumable) {
   const auto limit =
@@ -116,6 +120,9 @@
 }
 
 auto proxy_session::TryDispatch() -> void {
+  if (!PassesGuard()) {
+    return;
+  }
   const auto now = context_.loop.get_now();
   auto choice = ChooseServer();
   if (choice.verdict == server_verdict::chosen) {
@@ -139,6 +146,10 @@
   const auto now = context_.loop.get_now();
   ++attempts_;
   server_ = server.id;
+  server_address_ = server.address;
+  evidence_ = context_.guard.OnSent(suspects_, now);
+  first_body_at_ = mono_time();
+  is_proven_ = false;
   server_start_time_ms_ = server.start_time_ms;
   server_software_ = server.software;
   tried_servers_.insert(server.id);
@@ -184,6 +195,7 @@
        {"resumes", metadata_.resumes.value_or(caller_request_id()).get()},
        {"after", static_cast<std::int64_t>(stream_.get_last_event_id())},
        {"attempt", static_cast<std::int64_t>(attempts_)},
+       {"trial", evidence_.on_trial.empty() ? "no" : "yes"},
        {"load", static_cast<std::int64_t>(
                     context_.selector.GetLoad(server_, now).requests)},
        {"permit", std::string(GetPermitSourceText(permit))},
@@ -225,6 +237,7 @@
   }
   response_head_ = head;
   server_answer_ = decoded;
+  evidence_.has_begun = decoded.status < kFirstNonSuccess;
   RecordLimit(decoded);
   is_streaming_ = rule_.is_stream && call_.head.method != "HEAD" &&
                   head.status == kOk && decoded.is_signed &&
@@ -279,6 +292,12 @@
     }
     prefill_tokens_ = 0;
   }
+  const auto now = context_.loop.get_now();
+  if (first_body_at_ == mono_time()) {
+    first_body_at_ = now;
+  } else if (now - first_body_at_ >= kProofTime) {
+    RecordRun();
+  }
   ForwardEvents(bytes);
   if (attempt_ != nullptr) {
     ArmStallTimer();  // the timeout depends on whether the answer has begun
@@ -353,6 +372,9 @@
     OnAttemptEnd(attempt_outcome::truncated);
     return;
   }
+  if (is_success && has_framing) {
+    RecordRun();
+  }
   OnAttemptEnd(attempt_outcome::complete);
 }
 
@@ -408,8 +430,33 @@
     return;
   }
   const auto self = shared_from_this();
-  const auto now = context_.loop.get_now();
   ReleaseServer();
+  const auto is_broken_off = outcome == attempt_outcome::interrupted ||
+                             outcome == attempt_outcome::truncated ||
+                             outcome == attempt_outcome::invalid;
+  if (is_broken_off && !is_proven_ && !suspects_.keys.empty()) {
+    may_have_run_ = true;
+    CheckForCrash([self, outcome] { self->ConcludeAttempt(outcome); });
+    return;
+  }
+  const auto is_unframed_success =
+      outcome == attempt_outcome::complete && !is_proven_ &&
+      server_answer_.status < kFirstNonSuccess && !suspects_.keys.empty();
+  if (is_unframed_success) {
+    // Its end may be that of the server; the caller need not wait for the
+    // answer.
+    CheckForCrash([] {});
+  }
+  ConcludeAttempt(outcome);
+}
+
+auto proxy_session::ConcludeAttempt(attempt_outcome outcome) -> void {
+  if (is_finished_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  const auto now = context_.loop.get_now();
+  context_.guard.EndTrial(evidence_);
   if (outcome == attempt_outcome::not_sent) {
     --attempts_;
     ++connect_failures_;
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -17,6 +17,7 @@
 #include "drivers/http_listener.h"
 #include "drivers/http_pool.h"
 #include "entry/attempt_policy.h"
+#include "entry/crash_guard.h"
 #include "entry/pending_queue.h"
 #include "entry/retry_allowance.h"
 #include "entry/route_table.h"
@@ -25,6 +26,7 @@
 #include "entry/stream_assembler.h"
 #include "entry/stream_origins.h"
 #include "entry/wait_estimator.h"
+#include "main/run_verifier.h"
 
 namespace ebony {
 
@@ -53,12 +55,17 @@
   std::map<demand_key, demand_count>& demand;
   server_permits& permits;
   stream_origins& origins;
+  crash_guard& guard;
+  run_verifier& verifier;
   first_event_sums& first_events;
   // Returns a random number in [0, bound).
   std::function<std::uint64_t(std::uint64_t)> random;
   // Called when no server holds a requested model or adapter, so that the
   // coordinator learns of it ahead of the regular sync.
   std::function<void()> on_unserved_demand;
+  // Called when other gateways should learn soon of a crash or a clearance, or
+  // a request waits for a trial.
+  std::function<void()> on_suspicion;
   // Called when capacity of a server may have become free.
   std::function<void()> on_capacity_freed;
   // Returns true while new streams are rejected, late in a drain.
@@ -117,6 +124,13 @@
   };
   std::optional<buffered_response> error_response_;
 
+  // Crashes of servers under requests like this one.
+  request_suspects suspects_;
+  attempt_evidence evidence_;  // of the latest attempt
+  host_port server_address_;
+  mono_time first_body_at_;  // of the latest attempt
+  bool is_proven_ = false;   // the latest attempt ran without a crash
+
   // Forwarding of a stream.
   // What began a resumable stream, once the caller has an event of it.
   std::optional<stream_origin> origin_;
@@ -135,6 +149,16 @@
   auto TryDispatch() -> void;
   // Queues the request, or rejects it if waiting cannot help.
   auto Enqueue(server_verdict reason) -> void;
+  // Returns true if the guard lets the request go to a server. Otherwise, the
+  // request is queued or has its final answer.
+  auto PassesGuard() -> bool;
+  auto GetServerRun() const -> server_run;
+  // Records that the latest attempt ran without a crash of its server.
+  auto RecordRun() -> void;
+  // Records that the server crashed while it may have begun the attempt.
+  auto RecordCrash(const attempt_evidence& evidence, server_run run) -> void;
+  // Finds out whether the server has crashed, and records it.
+  auto CheckForCrash(std::function<void()> on_done) -> void;
   auto GetCallerTimeout() const -> duration;
   auto GetModelLoadTime() const -> duration;
   auto GetQueueTimeout(server_verdict reason) const -> duration;
@@ -167,6 +191,9 @@
   auto GetFramingText() const -> std::string;
   auto MayRetry(attempt_outcome outcome) -> bool;
   auto OnAttemptEnd(attempt_outcome outcome) -> void;
+  // Decides what follows the attempt, once it is known whether its server has
+  // crashed.
+  auto ConcludeAttempt(attempt_outcome outcome) -> void;
   auto ReleaseServer() -> void;
   auto RecordServiceTime() -> void;
   auto ArmStallTimer() -> void;
--- a/main/proxy_session_queue.cc
+++ b/main/proxy_session_queue.cc
@@ -25,9 +25,28 @@
 constexpr duration kAdapterQueueTimeout = std::chrono::milliseconds(500);
 // Queue timeout of a started stream that needs another server to resume it.
 constexpr duration kResumeQueueTimeout = std::chrono::seconds(2);
+// Queue timeout of a request that awaits a trial: as long as a few trials take.
+constexpr duration kTrialQueueTimeout = std::chrono::milliseconds(1200);
 // Time from the first request for a missing model to the start of its load.
 constexpr duration kLoadStartDelay = std::chrono::milliseconds(300);
 
+// Returns the error of a request that no server could be found for.
+auto GetVerdictError(server_verdict verdict) -> error_kind {
+  switch (verdict) {
+    case server_verdict::busy:
+      return error_kind::overloaded;
+    case server_verdict::await_trial:
+      return error_kind::trial_pending;
+    case server_verdict::no_version:
+      return error_kind::stream_version_gone;
+    case server_verdict::chosen:
+    case server_verdict::no_replica:
+    case server_verdict::no_server:
+      break;
+  }
+  return error_kind::no_backend;
+}
+
 }  // namespace
 
 // Returns the time after which a caller is assumed to abandon a request that
@@ -70,6 +89,9 @@
         kQueueTimeoutFraction *
         static_cast<double>(rule_.latency_objective.count())));
   }
+  if (reason == server_verdict::await_trial) {
+    return std::min(kTrialQueueTimeout, GetCallerTimeout() / 2);
+  }
   if (reason != server_verdict::no_replica || !IsEngine()) {
     return duration(0);
   }
@@ -119,19 +141,21 @@
           .unserved;
     context_.on_unserved_demand();
   }
-  // After a failed attempt, a request is queued only for capacity, or if its
-  // stream has begun.
+  // After a failed attempt, a request is queued only for capacity or a trial,
+  // or if its stream has begun.
   const auto may_wait = is_first_attempt || reason == server_verdict::busy ||
+                        reason == server_verdict::await_trial ||
                         answer_->has_begun();
   const auto limit =
       may_wait ? std::min(GetQueueTimeout(reason), GetTimeLeft()) : duration(0);
-  const auto is_absent = reason != server_verdict::busy;
+  const auto is_absent =
+      reason != server_verdict::busy && reason != server_verdict::await_trial;
   if (limit <= duration(0)) {
-    Reject(is_absent ? error_kind::no_backend : error_kind::overloaded,
+    Reject(GetVerdictError(reason),
            is_absent ? GetModelLoadTime() : GetOverloadWait());
     return;
   }
-  if (!is_absent && !answer_->has_begun() &&
+  if (reason == server_verdict::busy && !answer_->has_begun() &&
       RejectIfHopeless(limit + GetLateQueueTimeout())) {
     return;
   }
@@ -166,9 +190,7 @@
     EnqueueLate();
     return;
   }
-  Reject(queue_reason_ == server_verdict::busy ? error_kind::overloaded
-                                               : error_kind::no_backend,
-         GetOverloadWait());
+  Reject(GetVerdictError(queue_reason_), GetOverloadWait());
 }
 
 // Queues a request that will miss its objective behind all others, since a late
--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -210,7 +210,11 @@
   for (const auto& piece : script.writes) {
     item.socket->Send(ReplaceId(piece, item.request->id));
   }
-  if (script.end == server_script::ending::close) {
+  if (script.end == server_script::ending::crash) {
+    Stop();
+  }
+  if (script.end == server_script::ending::close ||
+      script.end == server_script::ending::crash) {
     item.socket->CloseGracefully();
   } else if (script.end == server_script::ending::reset) {
     item.socket->Reset();
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -24,8 +24,9 @@
   // Byte sequences to send in order; `$ID` is replaced by the request's id.
   std::vector<std::string> writes;
   // What happens to the connection afterwards; `hang` keeps it open like
-  // `keep`, for scripts that send no complete response.
-  enum class ending { keep, close, reset, hang } end = ending::keep;
+  // `keep`, for scripts that send no complete response. `crash` closes it, and
+  // the server stops listening.
+  enum class ending { keep, close, reset, hang, crash } end = ending::keep;
 };
 
 // A request as received by a scripted server.
