--- a/core/request_metadata.h
+++ b/core/request_metadata.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/domain.h"
@@ -42,6 +43,16 @@
   std::optional<duration> deadline;  // relative to the arrival of the request
 };
 
+// Identifies what a request asks for: a hash of its host, method, target and
+// body, which stay the same when a caller sends it again under another id.
+using request_fingerprint =
+    strong_type<struct request_fingerprint_tag, std::uint64_t>;
+
+auto GetFingerprint(std::string_view host,
+                    std::string_view method,
+                    std::string_view target,
+                    std::string_view body) -> request_fingerprint;
+
 // Returns the ids of the segments in hexadecimal, separated by commas.
 auto GetSegmentsText(const std::vector<prompt_segment>& segments)
     -> std::string;
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/hashing.h"
 #include "platform/request_codec.h"
 
 namespace ebony {
@@ -54,6 +55,10 @@
       call_(std::move(call)),
       answer_(std::move(answer)),
       metadata_(std::move(metadata)),
+      fingerprint_(GetFingerprint(metadata_.host,
+                                  call_.head.method,
+                                  call_.head.target,
+                                  call_.body)),
       suspects_(GetSuspects(metadata_)),
       origin_(std::move(origin)),
       stream_(rule.retry == retry_policy::resumable) {
@@ -189,6 +194,7 @@
       {{"request", metadata_.id.get()},
        {"route", rule_.name.get()},
        {"model", metadata_.model.get()},
+       {"fingerprint", FormatHexadecimal(fingerprint_.get())},
        {"segments", GetSegmentsText(metadata_.prompt_segments)},
        {"backend", server_.get()},
        {"software", server.software.get()},
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -84,6 +84,7 @@
   incoming_request call_;
   response_pointer answer_;
   request_metadata metadata_;
+  request_fingerprint fingerprint_;
   mono_time deadline_;
   timer_id deadline_timer_;
   bool is_finished_ = false;
