--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -196,6 +196,12 @@
   return {{MakeResponse(200, "whole")}, server_script::ending::keep};
 }
 
+auto scripted_server::IsCrashing(const received_request& request) const
+    -> bool {
+  return HoldsCrashingSegment(request) ||
+         (!crashing_body_.empty() && request.body == crashing_body_);
+}
+
 auto scripted_server::Answer(connection& item) -> void {
   if (HoldsCrashingSegment(*item.request)) {
     item.socket->Send(ReplaceId(
@@ -203,6 +209,8 @@
         "Ebonythread-Response-Seal: s\r\nContent-Type: text/event-stream\r\n"
         "Transfer-Encoding: chunked\r\n\r\n",
         item.request->id));
+  }
+  if (IsCrashing(*item.request)) {
     Crash();
     return;
   }
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -50,12 +50,15 @@
 
   // A request with this prompt segment crashes the server; empty: none does.
   std::string crashing_segment_;
+  // The same for a request with this body.
+  std::string crashing_body_;
   bool is_crashed_ = false;
 
   auto NextScript() -> server_script;
   auto Answer(connection& item) -> void;
   auto Listen(const std::string& address) -> void;
   auto HoldsCrashingSegment(const received_request& request) const -> bool;
+  auto IsCrashing(const received_request& request) const -> bool;
 
   std::unique_ptr<stream_acceptor> acceptor_;
   std::vector<std::shared_ptr<received_request>> received_;
@@ -77,6 +80,8 @@
   auto CrashOn(const std::string& segment) -> void {
     crashing_segment_ = segment;
   }
+  // The same for a request with this body, before any answer.
+  auto CrashOnBody(const std::string& body) -> void { crashing_body_ = body; }
   // Resets all connections and stops listening.
   auto Crash() -> void;
   // Listens again, at another port.
