Crash records: an answer without content counts, later crashes are further rounds

Ruled out: the records' exchange (the four crashes were real and each request sound).

Change: only an answer that has begun without content counts towards the four crashes; the others towards the six rounds. Crashes of different servers 30 ms apart and more are of different rounds even if the later request was sent before the first was known, so that no trial is spent when several came at once.

--- a/core/crash_ledger.cc
+++ b/core/crash_ledger.cc
@@ -94,6 +94,10 @@
   return found == entries_.end() ? nullptr : &found->second.record;
 }
 
+auto crash_ledger::GetAge(suspect_key key, mono_time now) const -> duration {
+  return now - entries_.at(key).changed_at;
+}
+
 auto crash_ledger::GetQuarantineLeft(suspect_key key, mono_time now) const
     -> duration {
   const auto found = entries_.find(key);
--- a/core/crash_ledger.h
+++ b/core/crash_ledger.h
@@ -70,6 +70,8 @@
       -> bool;
   // Returns nullptr for an unknown key.
   auto Find(suspect_key key) const -> const crash_record*;
+  // Returns the time since the record of a known key changed last.
+  auto GetAge(suspect_key key, mono_time now) const -> duration;
   auto Judge(suspect_key key, mono_time now) const -> suspicion;
   // Returns the time until the quarantine of a key ends; 0 if it has none.
   auto GetQuarantineLeft(suspect_key key, mono_time now) const -> duration;
--- a/core/crash_record.cc
+++ b/core/crash_record.cc
@@ -6,8 +6,9 @@
 
 namespace {
 
-// Servers that have to crash after an answer had begun until a key is proven.
-// Three can be chance on a day on which servers crash for other reasons.
+// Servers that have to crash when an answer had just begun until a key is
+// proven. Three can be chance on a day on which servers crash for other
+// reasons.
 constexpr std::size_t kProvingCrashes = 4;
 // Requests under which they have to: one request that comes again and again
 // proves nothing about what it shares with others.
@@ -15,9 +16,9 @@
 // Rounds in which they have to: servers that crash together may have a cause in
 // common that is none of the requests.
 constexpr std::uint32_t kProvingRounds = 2;
-// Rounds that prove a key though the servers crash before they answer. Requests
-// wait longer for their answer than they take to prove themselves after it, so
-// that chance is more likely.
+// Rounds that prove a key though the servers crash before they answer, or
+// later. Many requests are in that state when a server crashes, so that chance
+// is more likely.
 constexpr std::uint32_t kProvingSilentRounds = 6;
 
 auto IsProvenByBegun(const crash_record& record) -> bool {
--- a/core/crash_record.h
+++ b/core/crash_record.h
@@ -59,11 +59,13 @@
   // crashed a server. Each time all below starts anew.
   std::uint32_t clearances = 0;
   // Crashes one after another: each of a request that was sent when the one
-  // before was known. Servers that crash together count once.
+  // before was known, or some time after it. Servers that crash together count
+  // once.
   std::uint32_t rounds = 0;
-  // The same, counting only requests whose answer had begun.
+  // The same, counting only answers that had begun, but without any content:
+  // few other requests are in that state when a server crashes by chance.
   std::uint32_t begun_rounds = 0;
-  smallest_values<server_run> runs;  // that crashed after the answer had begun
+  smallest_values<server_run> runs;        // that crashed in `begun_rounds`
   smallest_values<request_mark> requests;  // under which servers crashed
   smallest_values<organisation_mark> organisations;  // that had sent these
   // At least one of the requests had no other key that may have crashed it.
--- a/entry/crash_guard.cc
+++ b/entry/crash_guard.cc
@@ -13,6 +13,8 @@
 constexpr std::uint64_t kSegmentSeed = 1;
 constexpr std::uint64_t kRequestSeed = 2;
 constexpr std::uint64_t kOrganisationSeed = 3;
+// Time between two crashes that have no cause in common but the requests.
+constexpr duration kSeparateCrashes = std::chrono::milliseconds(30);
 
 auto HashNumber(std::uint64_t number, std::uint64_t seed) -> std::uint64_t {
   return HashBytes({reinterpret_cast<const char*>(&number), sizeof(number)},
@@ -144,6 +146,16 @@
   return cleared;
 }
 
+// Crashes of different servers at different times are of different rounds, even
+// if the second request was sent before the first crash was known.
+auto crash_guard::IsSeparateCrash(const crash_record& present,
+                                  const crash_record& evidence,
+                                  mono_time now) const -> bool {
+  const auto& runs = evidence.runs.get_values();
+  return !runs.empty() && !present.runs.Contains(runs.front()) &&
+         ledger_.GetAge(present.key, now) >= kSeparateCrashes;
+}
+
 auto crash_guard::Accuse(suspect_key key,
                          const attempt_evidence& evidence,
                          crash_record record,
@@ -151,15 +163,19 @@
   const auto* present = ledger_.Find(key);
   record.key = key;
   record.clearances = present == nullptr ? 0 : present->clearances;
-  record.rounds = 1;
-  record.begun_rounds = evidence.has_begun ? 1 : 0;
+  auto former = attempt_evidence::known_key();
   for (const auto& known : evidence.known) {
     // A clearance since then starts the count anew.
     if (known.key == key && known.clearances == record.clearances) {
-      record.rounds += known.rounds;
-      record.begun_rounds += known.begun_rounds;
+      former = known;
     }
   }
+  if (present != nullptr && IsSeparateCrash(*present, record, now)) {
+    former.rounds = std::max(former.rounds, present->rounds);
+    former.begun_rounds = std::max(former.begun_rounds, present->begun_rounds);
+  }
+  record.rounds = former.rounds + 1;
+  record.begun_rounds = former.begun_rounds + (evidence.has_just_begun ? 1 : 0);
   ledger_.Add(record, now);
 }
 
@@ -181,7 +197,7 @@
   });
   auto record = crash_record();
   record.is_isolated = accused.size() == 1;
-  if (evidence.has_begun) {
+  if (evidence.has_just_begun) {
     record.runs.Add(run);
   }
   record.requests.Add(suspects.mark);
--- a/entry/crash_guard.h
+++ b/entry/crash_guard.h
@@ -44,7 +44,9 @@
   };
   std::vector<known_key> known;
   std::vector<suspect_key> on_trial;
-  bool has_begun = false;  // the server's answer; set by the owner
+  // The server's answer had begun, but nothing of its content had come. Set by
+  // the owner.
+  bool has_just_begun = false;
 };
 
 // Decides at one gateway whether a request may be sent, by what is known of
@@ -69,6 +71,9 @@
              const request_suspects& suspects,
              mono_time now) const -> suspicion;
   auto MayTry(suspect_key key, mono_time now) const -> bool;
+  auto IsSeparateCrash(const crash_record& present,
+                       const crash_record& evidence,
+                       mono_time now) const -> bool;
   // Adds a crash to the record of one key.
   auto Accuse(suspect_key key,
               const attempt_evidence& evidence,
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -243,7 +243,7 @@
   }
   response_head_ = head;
   server_answer_ = decoded;
-  evidence_.has_begun = decoded.status < kFirstNonSuccess;
+  evidence_.has_just_begun = decoded.status < kFirstNonSuccess;
   RecordLimit(decoded);
   is_streaming_ = rule_.is_stream && call_.head.method != "HEAD" &&
                   head.status == kOk && decoded.is_signed &&
@@ -283,6 +283,7 @@
 
 auto proxy_session::OnBody(std::string_view bytes) -> void {
   const auto self = shared_from_this();  // the attempt may be cancelled here
+  evidence_.has_just_begun = false;
   if (!is_streaming_) {
     response_body_.append(bytes);
     return;
--- a/tests/crash_harness.cc
+++ b/tests/crash_harness.cc
@@ -164,7 +164,8 @@
   running.gateway_run = item.run;
   running.begins = now_ + Draw(40, 120);
   running.crashes = running.begins + Draw(50, 100);
-  running.proves = running.begins + Draw(20, 40) + kProofTime;
+  running.has_content = running.begins + Draw(20, 40);
+  running.proves = running.has_content + kProofTime;
   running.ends = running.begins + Draw(300, 2500);
   if (IsBad(content)) {
     ++bad_arrivals;
@@ -263,7 +264,9 @@
     if (source.run != request.gateway_run || request.is_proven) {
       continue;
     }
-    request.evidence.has_begun = request.has_begun;
+    request.evidence.has_just_begun =
+        request.has_begun &&
+        (IsBad(request.content) || now_ < request.has_content);
     source.guard->OnServerCrashed(request.suspects, request.evidence, run,
                                   now_);
     source.guard->EndTrial(request.evidence);
--- a/tests/crash_harness.h
+++ b/tests/crash_harness.h
@@ -51,6 +51,7 @@
     std::uint64_t gateway_run = 0;
     mono_time begins;   // of the first event
     mono_time crashes;  // only of a bad one
+    mono_time has_content;
     mono_time proves;
     mono_time ends;
     bool has_begun = false;
--- a/tests/crash_ledger_test.cc
+++ b/tests/crash_ledger_test.cc
@@ -70,7 +70,7 @@
     segments.push_back(1000 + i);
     const auto suspects = MakePrompt(segments, host);
     auto evidence = guard.OnSent(suspects, now);
-    evidence.has_begun = true;
+    evidence.has_just_begun = true;
     guard.OnServerCrashed(suspects, evidence, server_run(100 + i), now);
     guard.EndTrial(evidence);
   }
@@ -235,14 +235,14 @@
   guard.OnRan(MakePrompt({1, 2, 60}), At(0));
   const auto suspects = MakePrompt({1, 9, 61});
   auto evidence = guard.OnSent(suspects, At(1));
-  evidence.has_begun = true;
+  evidence.has_just_begun = true;
   BOOST_TEST(
       guard.OnServerCrashed(suspects, evidence, server_run(1), At(2)).size() ==
       1U);
   // If all ran lately, one of them may have turned bad.
   const auto proven = MakePrompt({1, 2, 62});
   evidence = guard.OnSent(proven, At(3));
-  evidence.has_begun = true;
+  evidence.has_just_begun = true;
   BOOST_TEST(
       guard.OnServerCrashed(proven, evidence, server_run(2), At(4)).empty());
   const auto later = At(5) + proven_keys::kDoubtedLifetime;
@@ -281,7 +281,7 @@
     const auto now = At(static_cast<std::int64_t>(i) * 100);
     const auto suspects = MakePrompt({kVictim, 20 + i, 40 + i}, "evil");
     auto evidence = guard.OnSent(suspects, now);
-    evidence.has_begun = true;
+    evidence.has_just_begun = true;
     guard.OnServerCrashed(suspects, evidence, server_run(i), now);
     guard.EndTrial(evidence);
   }
