Entries reject prompts whose start crashes servers

Change: crash_watch keeps what attempts were interrupted until their server's run turns out to be over (no connection, another run, gone from the table) or answers another request; crash_guard's records then decide, and gossip carries them to the other entries (a quarantine is repeated to entries that start later). The start of the prompt is the part that requests can share at entries. A request is retried after one interruption, and not at all while one of its keys is suspected. Entries lend no trials.

Test: ten requests with one prompt start, up to three attempts each; at most 5 attempts reach servers. Not seen before the change; a mutation shows it fail.

--- a/entry/crash_guard.cc
+++ b/entry/crash_guard.cc
@@ -105,17 +105,26 @@
   return keys;
 }
 
-auto crash_guard::Check(const request_suspects& suspects, mono_time now)
-    -> guard_decision {
-  if (ledger_.Judge(suspects.request, now) == suspicion::quarantined) {
-    return {guard_verdict::quarantined,
-            ledger_.GetQuarantineLeft(suspects.request, now)};
+auto crash_guard::GetQuarantineLeft(const request_suspects& suspects,
+                                    mono_time now) const -> duration {
+  const auto left = ledger_.GetQuarantineLeft(suspects.request, now);
+  if (left > duration(0)) {
+    return left;
   }
   for (const auto key : suspects.segments) {
     if (Judge(key, suspects, now) == suspicion::quarantined) {
-      return {guard_verdict::quarantined, ledger_.GetQuarantineLeft(key, now)};
+      return ledger_.GetQuarantineLeft(key, now);
     }
   }
+  return duration(0);
+}
+
+auto crash_guard::Check(const request_suspects& suspects, mono_time now)
+    -> guard_decision {
+  const auto left = GetQuarantineLeft(suspects, now);
+  if (left > duration(0)) {
+    return {guard_verdict::quarantined, left};
+  }
   auto decision = guard_decision();
   for (const auto key : GetTrialKeys(suspects, now)) {
     if (!MayTry(key, now)) {
@@ -126,6 +135,16 @@
   return decision;
 }
 
+auto crash_guard::IsSuspected(const request_suspects& suspects,
+                              mono_time now) const -> bool {
+  const auto is_suspected = [&](suspect_key key) {
+    return Judge(key, suspects, now) == suspicion::suspected;
+  };
+  return is_suspected(suspects.request) ||
+         std::any_of(suspects.segments.begin(), suspects.segments.end(),
+                     is_suspected);
+}
+
 auto crash_guard::OnSent(const request_suspects& suspects, mono_time now)
     -> attempt_evidence {
   auto evidence = attempt_evidence();
--- a/entry/crash_guard.h
+++ b/entry/crash_guard.h
@@ -113,6 +113,12 @@
   static constexpr duration kWantedTime = std::chrono::milliseconds(600);
 
   auto Check(const request_suspects& suspects, mono_time now) -> guard_decision;
+  // Returns the time for which the request is rejected; 0 if it isn't.
+  auto GetQuarantineLeft(const request_suspects& suspects, mono_time now) const
+      -> duration;
+  // Returns true if one of the request's keys is suspected.
+  auto IsSuspected(const request_suspects& suspects, mono_time now) const
+      -> bool;
   // An attempt is sent, which `Check` cleared.
   auto OnSent(const request_suspects& suspects, mono_time now)
       -> attempt_evidence;
--- a/entry/request_coordinator.cc
+++ b/entry/request_coordinator.cc
@@ -28,6 +28,13 @@
   return std::chrono::ceil<std::chrono::seconds>(time);
 }
 
+// The start of the prompt is the part of it that other requests can share.
+auto GetSuspects(const caller_request& request) -> request_suspects {
+  return MakeSuspects({request.id.get(), request.caller, request.service,
+                       request.model, request.fingerprint,
+                       request.prefix_hash});
+}
+
 }  // namespace
 
 request_coordinator::request_coordinator(coordinator_options options,
@@ -117,6 +124,7 @@
   budget_.OnRequest();
   auto active = active_request();
   active.request = request;
+  active.suspects = GetSuspects(request);
   active.arrived = now;
   active.phase_began = now;
   try {
@@ -210,6 +218,9 @@
            "the time limit has expired", now);
     return;
   }
+  if (RefuseIfQuarantined(active, now)) {
+    return;
+  }
   switch (TryDispatch(active, now)) {
     case route_verdict::chosen:
       break;
@@ -258,6 +269,8 @@
   active.attempt = attempt_number(active.attempt.get() + 1);
   ++active.attempts;
   active.backend = backend.name;
+  active.backend_run = backend.run;
+  active.evidence = crashes_.OnSent(active.suspects, now);
   active.software = backend.software;
   active.sent = now;
   active.progressed = now;
@@ -340,6 +353,9 @@
   const auto can_dispatch = [this, now,
                              &busy](const waiting_request& item) -> bool {
     auto& active = active_.at(item.id);
+    if (crashes_.GetQuarantineLeft(active.suspects, now)) {
+      return false;  // refused by the next tick
+    }
     const auto item_class =
         dispatch_class{active.request.model, active.request.adapter,
                        active.request.service, active.priority};
@@ -379,6 +395,7 @@
     return;  // The event belongs to an earlier attempt.
   }
   auto& active = found->second;
+  WatchAttempt(active, result, now);
   active.events_delivered = result.events_delivered;
   router_.OnEnded(active.backend);
   // An error status of a service is a valid answer; only engine errors count as
@@ -412,7 +429,11 @@
 
 auto request_coordinator::MayRetry(const active_request& active, mono_time now)
     -> bool {
+  const auto max_interrupted =
+      crashes_.GetMaxInterruptions(active.suspects, now);
   return active.attempts < options_.max_attempts &&
+         (active.interrupted_attempts == 0 ||
+          active.interrupted_attempts < max_interrupted) &&
          now < active.request.deadline && budget_.TryConsume();
 }
 
@@ -423,6 +444,7 @@
       result.end == attempt_end::complete &&
       (result.status == kStatusTooMany || result.status == kStatusUnavailable);
   const auto cannot_run = result.end == attempt_end::not_sent || is_busy;
+  active.interrupted_attempts += result.end == attempt_end::interrupted ? 1 : 0;
   if (!is_busy && router_.OnFailed(active.backend, now)) {
     count_("ebony_backend_ejections_total");
   }
@@ -494,6 +516,40 @@
   Erase(id);
 }
 
+auto request_coordinator::WatchAttempt(const active_request& active,
+                                       const attempt_result& result,
+                                       mono_time now) -> void {
+  const auto& backend = active.backend;
+  switch (result.end) {
+    case attempt_end::complete:
+      if (result.status == kStatusOk) {
+        crashes_.OnAnswered(active.suspects, backend, active.backend_run, now);
+      }
+      break;
+    case attempt_end::not_sent:
+      crashes_.OnUnreachable(backend, active.backend_run, now);
+      break;
+    case attempt_end::interrupted: {
+      auto evidence = active.evidence;
+      evidence.has_just_begun =
+          result.status == kStatusOk && result.events_delivered == 0;
+      crashes_.OnInterrupted(active.suspects, evidence, backend,
+                             active.backend_run, now);
+      break;
+    }
+  }
+}
+
+auto request_coordinator::RefuseIfQuarantined(active_request& active,
+                                              mono_time now) -> bool {
+  if (!crashes_.GetQuarantineLeft(active.suspects, now)) {
+    return false;
+  }
+  Refuse(active, error_kind::crashes_servers, active.ran,
+         "the request has crashed too many backend servers", now);
+  return true;
+}
+
 auto request_coordinator::TakeActions() -> std::vector<coordinator_action> {
   return std::exchange(actions_, {});
 }
--- a/entry/request_coordinator.h
+++ b/entry/request_coordinator.h
@@ -13,6 +13,7 @@
 #include "core/error_kind.h"
 #include "entry/admission_queue.h"
 #include "entry/claim_coordinator.h"
+#include "entry/crash_watch.h"
 #include "entry/retry_budget.h"
 #include "entry/router.h"
 #include "entry/routing_table.h"
@@ -142,6 +143,10 @@
     // What began the stream, once the caller has an event of it.
     std::optional<software_version> origin;
     std::set<backend_name> tried;
+    request_suspects suspects;
+    attempt_evidence evidence;  // of the latest attempt
+    incarnation backend_run;    // of the latest attempt's server
+    int interrupted_attempts = 0;
     // Whether a backend server has or may have executed the request so far.
     ran_state ran = ran_state::no;
   };
@@ -154,6 +159,7 @@
   counter_callback count_;
   admission_queue queue_;
   retry_budget budget_;
+  crash_watch crashes_;
   std::map<request_id, active_request> active_;
   std::map<request_key, request_id> claiming_;
   std::map<std::pair<caller_name, model_name>, std::uint32_t> per_caller_;
@@ -178,6 +184,12 @@
   auto OnClaimDecided(active_request& active,
                       const claim_decision& decision,
                       mono_time now) -> void;
+  // Tells the crash watch how an attempt has ended.
+  auto WatchAttempt(const active_request& active,
+                    const attempt_result& result,
+                    mono_time now) -> void;
+  // Returns true if the request was refused because it crashes servers.
+  auto RefuseIfQuarantined(active_request& active, mono_time now) -> bool;
   auto OnAttemptFailed(active_request& active,
                        const attempt_result& result,
                        mono_time now) -> void;
@@ -222,6 +234,7 @@
   // Returns and clears the actions that have to be executed, in order.
   auto TakeActions() -> std::vector<coordinator_action>;
 
+  auto get_crashes() -> crash_watch& { return crashes_; }
   auto IsActive(request_id id) const -> bool { return active_.contains(id); }
   auto get_active() const -> std::size_t { return active_.size(); }
   auto get_waiting() const -> std::size_t { return queue_.get_size(); }
--- a/entry/request_coordinator_end.cc
+++ b/entry/request_coordinator_end.cc
@@ -132,6 +132,9 @@
       }
       break;
     case phase::waiting:
+      if (RefuseIfQuarantined(active, now)) {
+        break;
+      }
       // A dispatch now would most likely complete after the time limit.
       if (now + GetServiceTime(active) >= active.request.deadline) {
         Refuse(active, error_kind::deadline_unreachable, active.ran,
@@ -152,6 +155,7 @@
       TickOne(found->second, now);
     }
   }
+  crashes_.Tick(table_, now);
   RunQueue(now);
   claims_.Tick(now);
 }
--- a/main/entry_daemon_links.cc
+++ b/main/entry_daemon_links.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "codec/entry_codec.h"
+#include "codec/site_codec.h"
 #include "control/record_rules.h"
 #include "main/entry_daemon.h"
 
@@ -149,6 +150,9 @@
     permits.OnAnnounced(backend_name(row.backend()), row.incarnation(), limit);
   }
   has_limits_ = permits.get_limited_servers() > 0;
+  for (const auto& row : gossip.crashes()) {
+    coordinator_.get_crashes().OnGossip(ToDomain(row), now);
+  }
 }
 
 auto entry_daemon::AddLimits(schema::backend_gossip& gossip, mono_time now)
@@ -233,6 +237,12 @@
   gossip->set_in_flight(in_flight);
   announcements_.AddLoads(*gossip, kMaxGossipLoads);
   AddLimits(*gossip, now);
+  const auto& crashes = coordinator_.get_crashes();
+  for (const auto& report : crashes.ListGossip(now)) {
+    *gossip->add_crashes() = ToSchema(report);
+  }
+  metrics_.Set("ebony_quarantined_keys",
+               static_cast<double>(crashes.CountQuarantined(now)));
   for (const auto& peer : peers_) {
     if (peer.name != self_) {
       link_.Send(peer.name, frame);
--- a/tests/coordinator_test.cc
+++ b/tests/coordinator_test.cc
@@ -61,18 +61,56 @@
     table.Apply(update);
   }
 
+  // All servers start again.
+  auto RestartServers() -> void {
+    auto update = routing_update();
+    update.from = table.get_version();
+    update.to = config_version(table.get_version().get() + 1);
+    for (const auto& [name, route] : table.get_backends()) {
+      update.backends.push_back(route);
+      update.backends.back().run = incarnation(route.run.get() + 1);
+    }
+    table.Apply(update);
+  }
+
   // Submits a request with a time limit of `limit`.
-  auto SubmitRequest(const std::string& caller, mono_time now, duration limit)
-      -> request_id {
+  auto SubmitRequest(const std::string& caller,
+                     mono_time now,
+                     duration limit,
+                     std::uint64_t fingerprint = 0,
+                     std::uint64_t prefix_hash = 0) -> request_id {
     auto request = caller_request();
     request.id = request_id(next_id_++);
     request.caller = caller_name(caller);
     request.model = model_name("m");
     request.deadline = now + limit;
+    request.fingerprint = fingerprint;
+    request.prefix_hash = prefix_hash;
     coordinator.OnRequest(request, now);
     return request.id;
   }
 
+  // Each attempt of the request crashes its server after the head of the
+  // answer, and the server starts again. Returns the number of attempts.
+  auto CrashServers(std::uint64_t fingerprint,
+                    std::uint64_t prefix_hash,
+                    std::int64_t at_ms) -> std::size_t {
+    const auto id = SubmitRequest("c", At(at_ms), milliseconds(5000),
+                                  fingerprint, prefix_hash);
+    auto attempts = std::size_t{0};
+    for (auto sent = TakeActionsOf<dispatch_action>(); !sent.empty();
+         sent = TakeActionsOf<dispatch_action>()) {
+      ++attempts;
+      at_ms += 100;
+      auto cut = attempt_result();
+      cut.status = 200;
+      coordinator.OnAttemptEnd(id, sent.front().attempt, cut, At(at_ms));
+    }
+    RestartServers();
+    coordinator.Tick(At(at_ms));
+    return attempts;
+  }
+
   // Takes all pending actions and returns those of one type.
   template <typename Action>
   auto TakeActionsOf() -> std::vector<Action> {
@@ -138,6 +176,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_stops_prompts_whose_start_crashes_servers) {
+  constexpr auto kBadPrefix = std::uint64_t{9};
+  const auto model = MakeModel("m", 1);
+  auto entry = single_entry_harness(model);
+  entry.AddServer(model, "other", "v1");
+  auto attempts = std::size_t{0};
+  for (auto round = 0; round < 10; ++round) {
+    const auto fingerprint = static_cast<std::uint64_t>(100 + round);
+    attempts += entry.CrashServers(fingerprint, kBadPrefix, round * 1000);
+  }
+  BOOST_TEST(attempts <= 5U);
+  entry.SubmitRequest("c", At(20000), milliseconds(5000), 500, kBadPrefix + 1);
+  BOOST_TEST(entry.TakeActionsOf<dispatch_action>().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_without_an_event_may_go_to_any_version) {
   const auto model = MakeModel("m", 1);
   auto entry = single_entry_harness(model);
