Entries reject a request that crashes servers, whoever of them gets it

Change: its key is the hash of caller, method, path and body, so one caller's request does not speak against another's. Tests: ten times the same request, at most 5 attempts; another caller's is sent; told to an entry that starts later; a server that lives accuses nobody.

--- a/entry/crash_watch.cc
+++ b/entry/crash_watch.cc
@@ -12,6 +12,7 @@
 
 }  // namespace
 
+// Callers don't share a request: its key is of one caller only.
 auto MakeSuspects(const watched_request& request) -> request_suspects {
   auto metadata = request_metadata();
   metadata.host = request.caller.get();
@@ -24,7 +25,7 @@
   const auto service = request.service == service_name()
                            ? service_name(request.model.get())
                            : request.service;
-  return GetSuspects(metadata, request_fingerprint(request.id), service);
+  return GetSuspects(metadata, fingerprint, service);
 }
 
 template <typename Predicate>
--- a/entry/crash_watch.h
+++ b/entry/crash_watch.h
@@ -13,7 +13,6 @@
 
 // The attributes of a request that tell what may crash a server.
 struct watched_request {
-  std::uint64_t id = 0;
   caller_name caller;
   service_name service;
   model_name model;
--- a/entry/request_coordinator.cc
+++ b/entry/request_coordinator.cc
@@ -30,9 +30,8 @@
 
 // The start of the prompt is the part of it that other requests can share.
 auto GetSuspects(const caller_request& request) -> request_suspects {
-  return MakeSuspects({request.id.get(), request.caller, request.service,
-                       request.model, request.fingerprint,
-                       request.prefix_hash});
+  return MakeSuspects({request.caller, request.service, request.model,
+                       request.fingerprint, request.prefix_hash});
 }
 
 }  // namespace
--- a/tests/coordinator_test.cc
+++ b/tests/coordinator_test.cc
@@ -176,6 +176,27 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_stops_a_request_that_crashes_servers) {
+  constexpr auto kBad = std::uint64_t{7};
+  const auto model = MakeModel("m", 1);
+  auto entry = single_entry_harness(model);
+  entry.AddServer(model, "other", "v1");
+  auto attempts = std::size_t{0};
+  for (auto round = 0; round < 10; ++round) {
+    attempts += entry.CrashServers(kBad, 0, round * 1000);
+  }
+  BOOST_TEST(attempts <= 5U);
+  entry.SubmitRequest("c", At(20000), milliseconds(5000), kBad);
+  const auto refusals = entry.TakeActionsOf<refuse_action>();
+  BOOST_REQUIRE_EQUAL(refusals.size(), 1U);
+  BOOST_TEST((refusals[0].kind == error_kind::crashes_servers));
+  BOOST_TEST((refusals[0].ran == ran_state::no));
+  // The same request of another caller, and another one, are sent.
+  entry.SubmitRequest("d", At(20000), milliseconds(5000), kBad);
+  entry.SubmitRequest("c", At(20000), milliseconds(5000), kBad + 1);
+  BOOST_TEST(entry.TakeActionsOf<dispatch_action>().size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_stops_prompts_whose_start_crashes_servers) {
   constexpr auto kBadPrefix = std::uint64_t{9};
   const auto model = MakeModel("m", 1);
@@ -191,6 +212,45 @@
   BOOST_TEST(entry.TakeActionsOf<dispatch_action>().size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(entries_tell_each_other_what_crashes_servers) {
+  constexpr auto kBad = std::uint64_t{7};
+  const auto model = MakeModel("m", 1);
+  auto first = single_entry_harness(model);
+  first.AddServer(model, "other", "v1");
+  for (auto round = 0; round < 4; ++round) {
+    first.CrashServers(kBad, 0, round * 1000);
+  }
+  auto second = single_entry_harness(model);
+  // Long after the last change, for an entry that has just started.
+  const auto now = At(100000);
+  for (const auto& report : first.coordinator.get_crashes().ListGossip(now)) {
+    second.coordinator.get_crashes().OnGossip(report, now);
+  }
+  second.SubmitRequest("c", now, milliseconds(5000), kBad);
+  BOOST_TEST(second.TakeActionsOf<dispatch_action>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_interruption_by_a_server_that_lives_accuses_nobody) {
+  const auto model = MakeModel("m", 1);
+  auto entry = single_entry_harness(model);
+  for (auto round = 0; round < 10; ++round) {
+    const auto id =
+        entry.SubmitRequest("c", At(round * 1000), milliseconds(900), 7);
+    auto result = attempt_result();
+    for (auto sent = entry.TakeActionsOf<dispatch_action>(); !sent.empty();
+         sent = entry.TakeActionsOf<dispatch_action>()) {
+      entry.coordinator.OnAttemptEnd(id, sent.front().attempt, result,
+                                     At(round * 1000 + 10));
+      result.end = attempt_end::complete;
+      result.status = 200;
+    }
+  }
+  entry.RestartServers();
+  entry.coordinator.Tick(At(20000));
+  entry.SubmitRequest("c", At(20000), milliseconds(5000), 7);
+  BOOST_TEST(entry.TakeActionsOf<dispatch_action>().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_without_an_event_may_go_to_any_version) {
   const auto model = MakeModel("m", 1);
   auto entry = single_entry_harness(model);
