Bytes without end are cut before they fill the memory

Cause: a server in trouble may send bytes that are no answer until its caller closes. The gateway's limits stood on parsed heads (64 KiB) and bodies (64 MiB, each); interim answers, answers to other requests, a chunk's extension and an event that never ends had none, and four large answers at once would have passed the 260 MB of a VM.

Change: http_pool gives a call up after 1 MiB that bring it nothing of its body; a session buffers 8 MiB at most, all together 48 MiB; an event over 1 MiB ends a stream on routes that are not resumable, too. Entries bound theirs already (16 MiB, events of 1 MiB).

Test (new, with scripted servers that send until they are cut off): eleven kinds on three routes; before: 29 checks failed, up to 372 MB sent within the request's 2 s; after: none, under 24 MiB each, the caller gets 502 or its connection ends.

--- a/drivers/http_pool.cc
+++ b/drivers/http_pool.cc
@@ -14,6 +14,10 @@
 // Subtracted from the peer's timeout, so that a request is not sent while the
 // peer closes the connection.
 constexpr duration kKeepAliveMargin = std::chrono::milliseconds(700);
+// Bytes that bring a call nothing of its response's body, one after another:
+// heads, interim responses, those for other calls, framing. A peer that sends
+// more sends no response.
+constexpr std::size_t kMaxUnusedBytes = 1024 * 1024;
 // A response with a lower status is interim, and the final one follows.
 constexpr int kFirstFinalStatus = 200;
 
@@ -47,6 +51,7 @@
   call_hooks hooks_;
   std::string unparsed_;  // bytes that the parser needs again with later ones
   std::uint64_t sent_bytes_before_call_ = 0;
+  std::size_t unused_bytes_ = 0;  // since the last byte of the call's body
   bool is_busy_ = false;
   bool is_head_request_ = false;
   bool is_skipping_ = false;  // the current response is not for this call
@@ -64,7 +69,11 @@
     auto hooks = http_reader::hooks();
     hooks.on_head = [this](const http_head& head) { OnHead(head); };
     hooks.on_body = [this](std::string_view bytes) {
-      if (!is_skipping_ && hooks_.on_body) {
+      if (is_skipping_) {
+        return;
+      }
+      unused_bytes_ = 0;
+      if (hooks_.on_body) {
         hooks_.on_body(bytes);
       }
     };
@@ -90,6 +99,10 @@
       Close();  // unsolicited bytes
       return;
     }
+    if (unused_bytes_ > kMaxUnusedBytes) {
+      Fail(call_failure::malformed_response);
+      return;
+    }
     while (!bytes.empty() && is_busy_) {
       auto consumed = std::size_t{0};
       auto status = reader_->Feed(bytes, consumed);
@@ -185,6 +198,7 @@
       if (self == nullptr) {
         return;
       }
+      self->unused_bytes_ += bytes.size();
       if (self->unparsed_.empty()) {
         self->OnBytes(bytes);
         return;
@@ -221,6 +235,7 @@
     is_bodyless_ = false;
     hooks_ = std::move(hooks);
     unparsed_.clear();
+    unused_bytes_ = 0;
     sent_bytes_before_call_ = socket_->get_sent_bytes();
     ExpectResponse();
     pool_.busy_.insert(shared_from_this());
--- a/entry/sse_reader.cc
+++ b/entry/sse_reader.cc
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr std::size_t kMaxEventBytes = 1U << 20;
 constexpr std::string_view kEndOfStreamData = "[DONE]";
 
 // Returns the text after `field:` with one leading space removed.
--- a/entry/sse_reader.h
+++ b/entry/sse_reader.h
@@ -27,6 +27,9 @@
   bool is_overlong_ = false;
 
  public:
+  // A longer event is not read.
+  static constexpr std::size_t kMaxEventBytes = std::size_t{1024} * 1024;
+
   // Appends `bytes` and calls `on_event` for each event that they complete.
   auto Feed(std::string_view bytes,
             const std::function<void(const sse_event&)>& on_event) -> void;
--- a/entry/stream_assembler.cc
+++ b/entry/stream_assembler.cc
@@ -32,7 +32,8 @@
 }
 
 auto stream_assembler::IsUnusable() const -> bool {
-  return reader_.is_overlong() || repeats_events_;
+  return position_.get_partial_bytes() > sse_reader::kMaxEventBytes ||
+         reader_.is_overlong() || repeats_events_;
 }
 
 auto stream_assembler::IsWhole(bool has_framing) const -> bool {
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -13,6 +13,9 @@
 // Unsent bytes of a stream, beyond which a caller that reads too slowly is cut
 // off.
 constexpr std::size_t kMaxUnsentBytes = 1024 * 1024;
+// Bodies of answers that are not streams: of one, and of all together.
+constexpr std::size_t kMaxBufferedBytes = std::size_t{8} * 1024 * 1024;
+constexpr std::size_t kMaxAllBufferedBytes = std::size_t{48} * 1024 * 1024;
 // Maximum idle time of a connection that is reused. A server can close an idle
 // connection just as a request is sent, which leaves open whether the request
 // ran, so the limit is short for requests that must not run twice.
@@ -162,6 +165,7 @@
   response_head_ = http_head();
   server_answer_ = server_answer();
   response_body_.clear();
+  CountBuffered();
   stream_.StartRun();
   prefill_tokens_ = static_cast<double>(metadata_.prompt_tokens);
   const auto requests = context_.selector.GetLoad(server_, now).requests;
@@ -285,7 +289,7 @@
   const auto self = shared_from_this();  // the attempt may be cancelled here
   evidence_.has_just_begun = false;
   if (!is_streaming_) {
-    response_body_.append(bytes);
+    BufferBody(bytes);
     return;
   }
   if (prefill_tokens_ > 0) {
@@ -311,6 +315,26 @@
   }
 }
 
+auto proxy_session::BufferBody(std::string_view bytes) -> void {
+  response_body_.append(bytes);
+  CountBuffered();
+  const auto is_too_large = response_body_.size() > kMaxBufferedBytes ||
+                            context_.buffered_bytes > kMaxAllBufferedBytes;
+  if (!is_too_large) {
+    return;
+  }
+  context_.counters.Count("ebony_oversized_answers_total");
+  attempt_->Cancel();
+  response_body_.clear();
+  OnAttemptEnd(attempt_outcome::invalid);
+}
+
+auto proxy_session::CountBuffered() -> void {
+  const auto bytes = response_body_.size() +
+                     (error_response_ ? error_response_->body.size() : 0);
+  context_.buffered_bytes += bytes - std::exchange(buffered_bytes_, bytes);
+}
+
 auto proxy_session::RecordWrite() -> void {
   const auto now = context_.loop.get_now();
   if (last_write_ == mono_time()) {
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -71,6 +71,7 @@
   // Returns true while new streams are rejected, late in a drain.
   std::function<bool()> rejects_streams;
   std::size_t active_sessions = 0;  // sessions without a final answer
+  std::size_t buffered_bytes = 0;   // of the answers that sessions hold
 };
 
 // Proxies one caller's request from its arrival to its final answer: queues it
@@ -124,6 +125,7 @@
     std::string body;
   };
   std::optional<buffered_response> error_response_;
+  std::size_t buffered_bytes_ = 0;  // of both bodies, as counted in the context
 
   // Crashes of servers under requests like this one.
   request_suspects suspects_;
@@ -181,6 +183,10 @@
   // Records what an answer says of the server's limit of requests.
   auto RecordLimit(const server_answer& answer) -> void;
   auto OnBody(std::string_view bytes) -> void;
+  // Buffers a part of an answer that is not forwarded as it arrives. Gives the
+  // attempt up if the answers that are buffered grow too large.
+  auto BufferBody(std::string_view bytes) -> void;
+  auto CountBuffered() -> void;
   // Remembers what began the stream before its first bytes go to the caller.
   auto RecordOrigin() -> void;
   auto SendToCaller(std::string_view bytes) -> void;
--- a/main/proxy_session_end.cc
+++ b/main/proxy_session_end.cc
@@ -140,6 +140,7 @@
   context_.loop.CancelTimer(queue_timer_);
   context_.loop.CancelTimer(stall_timer_);
   context_.guard.EndTrial(evidence_);
+  context_.buffered_bytes -= std::exchange(buffered_bytes_, 0);
   const auto took = context_.loop.get_now() - call_.received_at;
   context_.counters.Count(std::string("ebony_relayed_total{outcome=\"") +
                           outcome + "\"}");
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -235,6 +235,58 @@
   }
 }
 
+// Bytes without end, in each place where a gateway might keep or follow them.
+BOOST_AUTO_TEST_CASE(an_answer_without_end_is_cut_before_it_fills_the_memory) {
+  constexpr auto kMaxBytes = std::uint64_t{24} * 1024 * 1024;
+  const auto piece = std::string(16 * 1024, 'x');
+  const auto signature = std::string(
+      "Ebonythread-Request-Id: $ID\r\nEbonythread-Response-Seal: s\r\n");
+  const auto chunked = std::string("Transfer-Encoding: chunked\r\n\r\n");
+  const auto events = std::string("Content-Type: text/event-stream\r\n");
+  struct endless {
+    std::string name;
+    std::string start;
+    std::string filler;
+  };
+  const auto cases = std::vector<endless>{
+      {"no HTTP", "", piece},
+      {"a field of the head", "HTTP/1.1 200 OK\r\nX: ", piece},
+      {"fields of the head", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+      {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"a body in chunks", "HTTP/1.1 200 OK\r\n" + signature + chunked,
+       RenderChunk(piece)},
+      {"a body up to the close", "HTTP/1.1 200 OK\r\n" + signature + "\r\n",
+       piece},
+      {"a chunk's extension",
+       "HTTP/1.1 200 OK\r\n" + signature + chunked + "5;", piece},
+      {"an event in chunks",
+       "HTTP/1.1 200 OK\r\n" + signature + events + chunked,
+       RenderChunk(piece)},
+      {"an event up to the close",
+       "HTTP/1.1 200 OK\r\n" + signature + events + "\r\n", piece},
+      {"an answer to another request",
+       "HTTP/1.1 200 OK\r\nEbonythread-Request-Id: other\r\n\r\n", piece},
+      {"answers to other requests", "",
+       "HTTP/1.1 200 OK\r\nEbonythread-Request-Id: other\r\n"
+       "Content-Length: 2\r\n\r\nno"},
+  };
+  for (const auto* route : {"once", "stream", "resume"}) {
+    for (const auto& item : cases) {
+      BOOST_TEST_CONTEXT(route << ", " << item.name) {
+        auto site = gateway_harness(1);
+        auto script = server_script();
+        script.writes = {item.start};
+        script.filler = item.filler;
+        site.AddCommonScript(script);
+        const auto answer = site.Send(MakeRequest(route, "id-1"));
+        site.RunUntil([&] { return IsOver(answer); });
+        BOOST_TEST(site.servers[0]->get_filler_bytes() < kMaxBytes);
+        BOOST_TEST((answer->is_closed || answer->status == 502));
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -218,6 +218,10 @@
   for (const auto& piece : script.writes) {
     item.socket->Send(ReplaceId(piece, item.request->id));
   }
+  if (!script.filler.empty()) {
+    SendEndlessly(item.socket, script.filler);
+    return;
+  }
   if (script.end == server_script::ending::crash) {
     Stop();
   }
@@ -229,6 +233,21 @@
   }
 }
 
+auto scripted_server::SendEndlessly(
+    const std::shared_ptr<stream_socket>& socket,
+    const std::string& filler) -> void {
+  constexpr auto kMaxUnsentBytes = std::size_t{1024} * 1024;
+  if (!socket->is_open()) {
+    return;
+  }
+  while (socket->is_open() && socket->get_unsent_bytes() < kMaxUnsentBytes) {
+    socket->Send(filler);
+    filler_bytes_ += filler.size();
+  }
+  loop_.AddTimerIn(milliseconds(1),
+                   [this, socket, filler] { SendEndlessly(socket, filler); });
+}
+
 auto scripted_server::AddScript(server_script script) -> void {
   scripts_.push_back(std::move(script));
 }
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -27,6 +27,9 @@
   // `keep`, for scripts that send no complete response. `crash` closes it, and
   // the server stops listening.
   enum class ending { keep, close, reset, hang, crash } end = ending::keep;
+  // Sent again and again after `writes` until the connection is closed; empty:
+  // nothing is.
+  std::string filler = {};
 };
 
 // A request as received by a scripted server.
@@ -57,12 +60,15 @@
   auto NextScript() -> server_script;
   auto Answer(connection& item) -> void;
   auto Listen(const std::string& address) -> void;
+  auto SendEndlessly(const std::shared_ptr<stream_socket>& socket,
+                     const std::string& filler) -> void;
   auto HoldsCrashingSegment(const received_request& request) const -> bool;
   auto IsCrashing(const received_request& request) const -> bool;
 
   std::unique_ptr<stream_acceptor> acceptor_;
   std::vector<std::shared_ptr<received_request>> received_;
   int connections_ = 0;
+  std::uint64_t filler_bytes_ = 0;
 
  public:
   scripted_server(event_loop& loop,
@@ -92,6 +98,8 @@
     return received_;
   }
   auto get_connections() const -> int { return connections_; }
+  // Bytes of fillers that the gateway's side took.
+  auto get_filler_bytes() const -> std::uint64_t { return filler_bytes_; }
 };
 
 // A response as received by a caller.
