--- a/tools/ebony_bench.cc
+++ b/tools/ebony_bench.cc
@@ -22,6 +22,7 @@
 #include "control/placement.h"
 #include "core/stream_origin_table.h"
 #include "entry/claim_table.h"
+#include "entry/crash_guard.h"
 #include "entry/request_coordinator.h"
 
 namespace ebony {
@@ -366,6 +367,56 @@
   std::printf("report of 100 streams %zu B\n", row.ByteSizeLong());
 }
 
+// The work and memory for each key whose crashes a daemon keeps a record of,
+// and for each request that is checked.
+auto MeasureCrashSlopes() -> void {
+  auto merge = std::vector<sample>();
+  auto memory = std::vector<sample>();
+  auto check = std::vector<sample>();
+  const auto now = mono_time(std::chrono::seconds(1000));
+  const auto make_report = [](std::uint64_t number) {
+    auto report = crash_report();
+    report.record.key = suspect_key(number * 0x9E3779B97F4A7C15ULL);
+    report.record.rounds = 2;
+    report.record.runs.Add(server_run(number));
+    report.record.requests.Add(request_mark(number));
+    report.record.organisations.Add(organisation_mark(number));
+    return report;
+  };
+  for (const auto records : {100U, 300U, 600U, 1000U}) {
+    const auto before = GetUsedMib();
+    auto guard = crash_guard();
+    auto number = std::uint64_t{0};
+    const auto add = [&] {
+      guard.get_ledger().Merge(make_report(++number), true, now);
+    };
+    for (auto i = 0U; i < records; ++i) {
+      add();
+    }
+    memory.push_back({static_cast<double>(records), GetUsedMib() - before});
+    auto metadata = request_metadata();
+    metadata.prompt_segments = {{1, 10}, {2, 10}, {3, 10}};
+    check.push_back({static_cast<double>(records), MeasureUs(10000, [&] {
+                       const auto suspects =
+                           GetSuspects(metadata, request_fingerprint(++number),
+                                       service_name("s"));
+                       guard.Check(suspects, now);
+                       guard.OnSent(suspects, now);
+                       guard.OnRan(suspects, now);
+                     })});
+    merge.push_back({static_cast<double>(records), MeasureUs(20, add)});
+  }
+  const auto row = ToSchema(make_report(1));
+  auto trial = schema::trial_row();
+  AddTrials(trial, vm_name("edge-hall-d-4"), {suspect_key(1ULL << 60)});
+  std::printf("\nper key with a crash record\n");
+  PrintFit("record merged, us", "us", merge, 1024);
+  PrintFit("records, memory, MiB", "MiB", memory, 1024);
+  PrintFit("request checked and proven, us", "us", check, 1024);
+  std::printf("record %zu B, trial %zu B\n", row.ByteSizeLong(),
+              trial.ByteSizeLong());
+}
+
 auto MeasureMessages() -> void {
   auto poll = schema::link_frame();
   poll.set_from("e123");
@@ -430,6 +481,7 @@
   ebony::MeasureClaimSlopes();
   ebony::MeasurePermitSlopes();
   ebony::MeasureOriginSlopes();
+  ebony::MeasureCrashSlopes();
   ebony::MeasureMessages();
   return 0;
 }
