--- a/entry/crash_guard.cc
+++ b/entry/crash_guard.cc
@@ -186,14 +186,16 @@
 auto crash_guard::OnRan(const request_suspects& suspects, mono_time now)
     -> std::vector<suspect_key> {
   auto cleared = std::vector<suspect_key>();
-  auto keys = suspects.segments;
-  keys.push_back(suspects.request);
-  for (const auto key : keys) {
+  for (const auto key : suspects.segments) {
     proven_.Add(key, now);
     if (ledger_.Clear(key, now)) {
       cleared.push_back(key);
     }
   }
+  proven_requests_.Add(suspects.request, now);
+  if (ledger_.Clear(suspects.request, now)) {
+    cleared.push_back(suspects.request);
+  }
   return cleared;
 }
 
@@ -277,8 +279,8 @@
                                 const attempt_evidence& evidence,
                                 server_run run,
                                 mono_time now) -> std::vector<suspect_key> {
-  if (!IsUnproven(suspects.request, now)) {
-    proven_.Doubt(suspects.request, now);
+  if (proven_requests_.Contains(suspects.request, now)) {
+    proven_requests_.Doubt(suspects.request, now);
     return {};
   }
   auto record = crash_record();
--- a/entry/crash_guard.h
+++ b/entry/crash_guard.h
@@ -62,7 +62,8 @@
 // one server is tried alone as well, and rejected once it is proven.
 class crash_guard {
   crash_ledger ledger_;
-  proven_keys proven_;
+  proven_keys proven_;           // segments
+  proven_keys proven_requests_;  // apart, so that many leave segments room
   // Trials that requests wait for, by the time when one asked last.
   std::map<suspect_key, mono_time> wanted_;
   std::set<suspect_key> granted_;   // by the leader
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -10,12 +10,6 @@
 
 namespace {
 
-// Unsent bytes of a stream, beyond which a caller that reads too slowly is cut
-// off.
-constexpr std::size_t kMaxUnsentBytes = 1024 * 1024;
-// Bodies of answers that are not streams: of one, and of all together.
-constexpr std::size_t kMaxBufferedBytes = std::size_t{8} * 1024 * 1024;
-constexpr std::size_t kMaxAllBufferedBytes = std::size_t{48} * 1024 * 1024;
 // Maximum idle time of a connection that is reused. A server can close an idle
 // connection just as a request is sent, which leaves open whether the request
 // ran, so the limit is short for requests that must not run twice.
@@ -35,10 +29,6 @@
 constexpr double kMaxRequestsOfIdleServer = 2;
 // Share of its slots below which a server runs a request without delay.
 constexpr double kMaxUncongestedLoad = 0.5;
-// A stream that has gone on for this long after its first bytes has not crashed
-// its server by beginning.
-constexpr duration kProofTime = std::chrono::milliseconds(250);
-constexpr int kOk = 200;
 constexpr int kFirstNonSuccess = 300;  // lowest status that is not a success
 
 }  // namespace
@@ -238,177 +228,6 @@
   return hooks;
 }
 
-auto proxy_session::OnHead(const http_head& head) -> bool {
-  const auto decoded = platform::DecodeServerAnswer(head);
-  if (decoded.echoed_id != caller_request_id() &&
-      decoded.echoed_id != metadata_.id) {
-    context_.counters.Count("ebony_foreign_answers_total");
-    return false;
-  }
-  response_head_ = head;
-  server_answer_ = decoded;
-  evidence_.has_just_begun = decoded.status < kFirstNonSuccess;
-  RecordLimit(decoded);
-  is_streaming_ = rule_.is_stream && call_.head.method != "HEAD" &&
-                  head.status == kOk && decoded.is_signed &&
-                  !decoded.has_content_encoding && decoded.is_event_stream;
-  return true;
-}
-
-// Only a success ends a limit: errors may come from a part of the server that
-// does not know of it.
-auto proxy_session::RecordLimit(const server_answer& answer) -> void {
-  const auto is_other_server =
-      answer.backend != backend_name() && answer.backend != server_;
-  const auto is_success = answer.is_signed && answer.status < kFirstNonSuccess;
-  if (is_other_server) {
-    return;
-  }
-  if (answer.has_unreadable_limit) {
-    context_.counters.Count("ebony_unreadable_limits_total");
-    context_.log.Write(
-        event_category::request, "limit_unreadable",
-        {{"request", metadata_.id.get()}, {"backend", server_.get()}});
-    return;
-  }
-  if (!answer.limit && !is_success) {
-    return;
-  }
-  const auto is_change = context_.permits.OnAnswer(
-      server_, server_start_time_ms_, answer.limit, context_.loop.get_now());
-  if (is_change) {
-    context_.counters.Count("ebony_limit_changes_total");
-    context_.log.Write(event_category::state, "limit_named",
-                       {{"request", metadata_.id.get()},
-                        {"backend", server_.get()},
-                        {"per_1000_s", GetRateField(answer.limit)}});
-  }
-}
-
-auto proxy_session::OnBody(std::string_view bytes) -> void {
-  const auto self = shared_from_this();  // the attempt may be cancelled here
-  evidence_.has_just_begun = false;
-  if (!is_streaming_) {
-    BufferBody(bytes);
-    return;
-  }
-  if (prefill_tokens_ > 0) {
-    context_.selector.OnPrefilled(server_, prefill_tokens_);
-    if (found_idle_server_) {
-      constexpr double kTokensPerUnit = 1000;
-      context_.first_events.Add(
-          prefill_tokens_ / kTokensPerUnit,
-          std::chrono::duration<double>(context_.loop.get_now() - sent_at_)
-              .count());
-    }
-    prefill_tokens_ = 0;
-  }
-  const auto now = context_.loop.get_now();
-  if (first_body_at_ == mono_time()) {
-    first_body_at_ = now;
-  } else if (now - first_body_at_ >= kProofTime) {
-    RecordRun();
-  }
-  ForwardEvents(bytes);
-  if (attempt_ != nullptr) {
-    ArmStallTimer();  // the timeout depends on whether the answer has begun
-  }
-}
-
-auto proxy_session::BufferBody(std::string_view bytes) -> void {
-  response_body_.append(bytes);
-  CountBuffered();
-  const auto is_too_large = response_body_.size() > kMaxBufferedBytes ||
-                            context_.buffered_bytes > kMaxAllBufferedBytes;
-  if (!is_too_large) {
-    return;
-  }
-  context_.counters.Count("ebony_oversized_answers_total");
-  attempt_->Cancel();
-  response_body_.clear();
-  OnAttemptEnd(attempt_outcome::invalid);
-}
-
-auto proxy_session::CountBuffered() -> void {
-  const auto bytes = response_body_.size() +
-                     (error_response_ ? error_response_->body.size() : 0);
-  context_.buffered_bytes += bytes - std::exchange(buffered_bytes_, bytes);
-}
-
-auto proxy_session::RecordWrite() -> void {
-  const auto now = context_.loop.get_now();
-  if (last_write_ == mono_time()) {
-    first_event_delay_ = now - call_.received_at;
-    context_.counters.Observe(
-        "ebony_first_event_seconds",
-        std::chrono::duration<double>(first_event_delay_).count());
-  } else {
-    longest_gap_ = std::max(longest_gap_, duration(now - last_write_));
-  }
-  last_write_ = now;
-}
-
-auto proxy_session::RecordOrigin() -> void {
-  if (rule_.retry != retry_policy::resumable) {
-    return;
-  }
-  if (!origin_) {
-    origin_ = stream_origin{service_.name, server_software_};
-  }
-  const auto first = metadata_.resumes.value_or(metadata_.id);
-  if (!context_.origins.OnBegun(GetStreamKey(first), *origin_,
-                                context_.loop.get_now())) {
-    context_.counters.Count("ebony_unreported_streams_total");
-  }
-}
-
-auto proxy_session::SendToCaller(std::string_view bytes) -> void {
-  if (bytes.empty()) {
-    return;
-  }
-  if (!answer_->has_begun()) {
-    RecordOrigin();
-    answer_->Begin(platform::MakeCallerHead(response_head_));
-  }
-  RecordWrite();
-  answer_->Append(bytes);
-}
-
-auto proxy_session::ForwardEvents(std::string_view bytes) -> void {
-  SendToCaller(stream_.Feed(bytes));
-  if (answer_->GetUnsentBytes() > kMaxUnsentBytes) {
-    attempt_->Cancel();
-    ReleaseServer();
-    AbortStream("caller_does_not_read");
-  } else if (stream_.IsUnusable()) {
-    attempt_->Cancel();
-    OnAttemptEnd(attempt_outcome::invalid);
-  }
-}
-
-auto proxy_session::OnComplete() -> void {
-  if (server_answer_.not_run) {
-    OnAttemptEnd(attempt_outcome::not_run);
-    return;
-  }
-  const auto is_success = server_answer_.status < kFirstNonSuccess;
-  if (is_success &&
-      (!server_answer_.is_signed || server_answer_.has_content_encoding)) {
-    OnAttemptEnd(attempt_outcome::invalid);
-    return;
-  }
-  const auto has_framing = response_head_.framing != body_framing::at_close;
-  if (is_streaming_ && !stream_.IsWhole(has_framing)) {
-    context_.counters.Count("ebony_truncated_streams_total");
-    OnAttemptEnd(attempt_outcome::truncated);
-    return;
-  }
-  if (is_success && has_framing) {
-    RecordRun();
-  }
-  OnAttemptEnd(attempt_outcome::complete);
-}
-
 auto proxy_session::GetFramingText() const -> std::string {
   return response_head_.status == 0
              ? "none"
--- a/tests/crash_ledger_test.cc
+++ b/tests/crash_ledger_test.cc
@@ -303,6 +303,35 @@
               guard_verdict::clear));
 }
 
+BOOST_AUTO_TEST_CASE(only_organisations_that_crashed_servers_are_rejected) {
+  auto guard = crash_guard();
+  CrashServers(guard, {1}, "evil", 5, 0);
+  const auto now = At(1000);
+  BOOST_TEST((guard.Check(MakePrompt({1, 80}, "evil"), now).verdict ==
+              guard_verdict::quarantined));
+  const auto other = MakePrompt({1, 81}, "good");
+  BOOST_TEST((guard.Check(other, now).verdict == guard_verdict::clear));
+  const auto evidence = guard.OnSent(other, now);
+  BOOST_TEST(evidence.on_trial.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_crash_before_any_answer_counts_less) {
+  auto guard = crash_guard();
+  const auto is_quarantined = [&guard] {
+    return guard.Check(MakePrompt({1, 90}), At(1000)).verdict ==
+           guard_verdict::quarantined;
+  };
+  for (auto i = std::uint64_t{0}; i < 6; ++i) {
+    BOOST_TEST(!is_quarantined());
+    const auto now = At(static_cast<std::int64_t>(i) * 100);
+    const auto suspects = MakePrompt({1, 50 + i});
+    auto evidence = guard.OnSent(suspects, now);
+    guard.OnServerCrashed(suspects, evidence, server_run(i), now);
+    guard.EndTrial(evidence);
+  }
+  BOOST_TEST(is_quarantined());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
