Gateways log whether a connection to a server was refused or unanswered

No decision changed: the outcome of all three is still not_sent. Tests gateway, http_pool_rules, order: passed.

--- a/drivers/http_pool.cc
+++ b/drivers/http_pool.cc
@@ -41,6 +41,19 @@
 
 }  // namespace
 
+auto IsUnsent(call_failure failure) -> bool {
+  switch (failure) {
+    case call_failure::refused:
+    case call_failure::unanswered:
+    case call_failure::not_sent:
+      return true;
+    case call_failure::interrupted:
+    case call_failure::malformed_response:
+      break;
+  }
+  return false;
+}
+
 // A connection of the pool. Runs one call at a time.
 class pooled_connection
     : public std::enable_shared_from_this<pooled_connection> {
@@ -57,6 +70,7 @@
   bool is_skipping_ = false;  // the current response is not for this call
   bool is_bodyless_ = false;
   bool keep_alive_ = true;
+  bool is_reported_ = false;  // its first call knows that it is connected
   int status_ = 0;
   duration keep_alive_time_ = kDefaultKeepAlive;
   mono_time idle_since_;
@@ -167,12 +181,23 @@
       OnComplete(false);
       return;
     }
+    if (reason == socket_close_reason::not_connected) {
+      Fail(call_failure::refused);
+      return;
+    }
     const auto nothing_sent =
-        reason == socket_close_reason::not_connected ||
         socket_->get_sent_bytes() == sent_bytes_before_call_;
     Fail(nothing_sent ? call_failure::not_sent : call_failure::interrupted);
   }
 
+  // Tells the first call of a connection that it was made.
+  auto ReportConnected() -> void {
+    if (std::exchange(is_reported_, true) || !hooks_.on_connected) {
+      return;
+    }
+    hooks_.on_connected();
+  }
+
   auto Fail(call_failure failure) -> void {
     const auto self = shared_from_this();
     is_busy_ = false;
@@ -213,14 +238,18 @@
     };
     hooks.may_send = [weak] {
       const auto self = weak.lock();
-      return self == nullptr || !self->may_send_ || self->may_send_();
+      if (self == nullptr) {
+        return true;
+      }
+      self->ReportConnected();
+      return !self->may_send_ || self->may_send_();
     };
     socket_->Connect(address_, std::move(hooks));
     connect_timer_ = pool_.loop_.AddTimerIn(connect_timeout, [weak] {
       const auto self = weak.lock();
       if (self != nullptr && self->is_busy_ &&
           self->socket_->get_sent_bytes() == 0) {
-        self->Fail(call_failure::not_sent);
+        self->Fail(call_failure::unanswered);
       }
     });
   }
--- a/drivers/http_pool.h
+++ b/drivers/http_pool.h
@@ -17,13 +17,20 @@
 
 // Why a call failed.
 enum class call_failure {
-  not_sent,            // no byte was sent, so the call cannot have run
+  refused,             // no connection: the peer's VM rejected it
+  unanswered,          // no connection within the time limit
+  not_sent,            // connected, but no byte was sent
   interrupted,         // bytes were sent, so the call may have run
   malformed_response,  // the response is not valid HTTP
 };
 
+// Returns true if no byte was sent, so that the call cannot have run.
+auto IsUnsent(call_failure failure) -> bool;
+
 // Hooks of a call. Either `on_complete` or `on_failed` is called once.
 struct call_hooks {
+  // A new connection was made for this call. May be empty.
+  std::function<void()> on_connected;
   // Returns false when the response belongs to another request. It is then
   // skipped, and the call waits for the next response on the connection.
   std::function<bool(const http_head&)> on_head;
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -107,7 +107,9 @@
         return is_draining_ &&
                loop_.get_now() - drain_start_ > kStreamAcceptTime;
       },
-      0};
+      0,
+      0,
+      loop_.get_now()};
 }
 
 auto gateway_daemon::is_ready() const -> bool {
--- a/main/order_executor.cc
+++ b/main/order_executor.cc
@@ -181,7 +181,7 @@
   hooks.on_complete = [this, id] { server_states_[id].check = nullptr; };
   hooks.on_failed = [this, id](call_failure failure) {
     server_states_[id].check = nullptr;
-    if (failure == call_failure::not_sent) {
+    if (IsUnsent(failure)) {
       OnUnreachable(id);
     }
   };
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -152,6 +152,7 @@
   server_software_ = server.software;
   tried_servers_.insert(server.id);
   sent_at_ = now;
+  connection_failure_.reset();
   response_head_ = http_head();
   server_answer_ = server_answer();
   response_body_.clear();
@@ -209,11 +210,15 @@
 auto proxy_session::MakeHooks() -> call_hooks {
   const auto self = shared_from_this();
   auto hooks = call_hooks();
+  hooks.on_connected = [self] { self->OnConnected(); };
   hooks.on_head = [self](const http_head& head) { return self->OnHead(head); };
   hooks.on_body = [self](std::string_view bytes) { self->OnBody(bytes); };
   hooks.on_complete = [self] { self->OnComplete(); };
   hooks.on_failed = [self](call_failure failure) {
+    self->connection_failure_ = failure;
     switch (failure) {
+      case call_failure::refused:
+      case call_failure::unanswered:
       case call_failure::not_sent:
         self->OnAttemptEnd(attempt_outcome::not_sent);
         break;
@@ -228,6 +233,28 @@
   return hooks;
 }
 
+auto proxy_session::OnConnected() -> void {
+  context_.counters.Count(
+      "ebony_server_connections_total{result=\"accepted\"}");
+}
+
+auto proxy_session::GetConnectionText() const -> std::string_view {
+  if (!connection_failure_) {
+    return "made";
+  }
+  switch (*connection_failure_) {
+    case call_failure::refused:
+      return "refused";
+    case call_failure::unanswered:
+      return "unanswered";
+    case call_failure::not_sent:
+    case call_failure::interrupted:
+    case call_failure::malformed_response:
+      break;
+  }
+  return "made";
+}
+
 auto proxy_session::GetFramingText() const -> std::string {
   return response_head_.status == 0
              ? "none"
@@ -308,6 +335,8 @@
   const auto now = context_.loop.get_now();
   context_.guard.EndTrial(evidence_);
   if (outcome == attempt_outcome::not_sent) {
+    context_.counters.Count("ebony_server_connections_total{result=\"" +
+                            std::string(GetConnectionText()) + "\"}");
     --attempts_;
     ++connect_failures_;
     context_.selector.OnUnreachable(server_, now);
@@ -353,6 +382,8 @@
         {{"request", metadata_.id.get()},
          {"backend", server_.get()},
          {"end", std::string(GetAttemptOutcomeText(outcome))},
+         {"connection", std::string(GetConnectionText())},
+         {"silent_ms", duration(now - context_.last_server_bytes)},
          {"status", static_cast<std::int64_t>(server_answer_.status)},
          {"framing", GetFramingText()},
          {"events", static_cast<std::int64_t>(stream_.get_events())},
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -72,6 +72,7 @@
   std::function<bool()> rejects_streams;
   std::size_t active_sessions = 0;  // sessions without a final answer
   std::size_t buffered_bytes = 0;   // of the answers that sessions hold
+  mono_time last_server_bytes;      // when any server sent something
 };
 
 // Proxies one caller's request from its arrival to its final answer: queues it
@@ -115,6 +116,7 @@
   // At the latest attempt.
   bool found_idle_server_ = false;
   bool found_free_slots_ = false;
+  std::optional<call_failure> connection_failure_;
   http_head response_head_;
   server_answer server_answer_;
   bool is_streaming_ = false;  // the body is forwarded as it arrives
@@ -179,6 +181,10 @@
   auto LeaveQueue() -> void;
   auto Dispatch(const backend_status& server) -> void;
   auto MakeHooks() -> call_hooks;
+  // A new connection to the server was made.
+  auto OnConnected() -> void;
+  // Returns what became of the latest attempt's connection, for log lines.
+  auto GetConnectionText() const -> std::string_view;
   auto OnHead(const http_head& head) -> bool;
   // Records what an answer says of the server's limit of requests.
   auto RecordLimit(const server_answer& answer) -> void;
--- a/main/proxy_session_answer.cc
+++ b/main/proxy_session_answer.cc
@@ -26,6 +26,7 @@
 }  // namespace
 
 auto proxy_session::OnHead(const http_head& head) -> bool {
+  context_.last_server_bytes = context_.loop.get_now();
   const auto decoded = platform::DecodeServerAnswer(head);
   if (decoded.echoed_id != caller_request_id() &&
       decoded.echoed_id != metadata_.id) {
@@ -75,6 +76,7 @@
 auto proxy_session::OnBody(std::string_view bytes) -> void {
   const auto self = shared_from_this();  // the attempt may be cancelled here
   evidence_.has_just_begun = false;
+  context_.last_server_bytes = context_.loop.get_now();
   if (!is_streaming_) {
     BufferBody(bytes);
     return;
