Test: callers of a gateway without paths to servers are served (fails)

A gateway on loopback whose links to four servers are cut, beside two gateways that reach them, serves 0 of 60 requests from 1 s after the cut, whether links hang or are reset; the same right after a start. With links that live on while new connections are refused 60 of 60 are served, over the kept connections.

--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -15,6 +15,7 @@
 
 using std::chrono::milliseconds;
 
+constexpr auto kFirstGateway = "gateway-1";
 constexpr auto kRunTimeout = std::chrono::seconds(5);
 
 // Ports below the range from which the kernel assigns ports to outgoing
@@ -265,20 +266,26 @@
       std::make_shared<caller_response>();
 };
 
+auto gateway_harness::MakeSettings(const std::string& vm) -> site_settings {
+  auto settings = settings_;
+  settings.vm = vm_name(vm);
+  settings.ip = "127.0.0.1";
+  settings.seeds = {host_port("127.0.0.1:1")};
+  settings.caller_address =
+      host_port("127.0.0.1:" + std::to_string(FindFreePort()));
+  settings.readiness_address =
+      host_port("127.0.0.1:" + std::to_string(FindFreePort()));
+  settings.stop_grace = milliseconds(8000);
+  settings.retry_ratio = 0.2;
+  settings.retry_slack = 50;
+  settings.retry_window = std::chrono::seconds(10);
+  return settings;
+}
+
 gateway_harness::gateway_harness(int server_count) {
   const auto link = FindFreePort();
-  settings_.vm = vm_name("gateway-1");
-  settings_.ip = "127.0.0.1";
   settings_.link_port = link;
-  settings_.seeds = {host_port("127.0.0.1:1")};
-  settings_.caller_address =
-      host_port("127.0.0.1:" + std::to_string(FindFreePort()));
-  settings_.readiness_address =
-      host_port("127.0.0.1:" + std::to_string(FindFreePort()));
-  settings_.stop_grace = milliseconds(8000);
-  settings_.retry_ratio = 0.2;
-  settings_.retry_slack = 50;
-  settings_.retry_window = std::chrono::seconds(10);
+  settings_ = MakeSettings(kFirstGateway);
   config_ = MakeConfigText(1);
   for (auto i = 0; i < server_count; ++i) {
     servers.push_back(std::make_unique<scripted_server>(
@@ -309,11 +316,45 @@
 
 gateway_harness::~gateway_harness() = default;
 
+auto gateway_harness::AddWiresAndGateways(int gateways) -> void {
+  for (const auto& server : servers) {
+    wires_.push_back(
+        std::make_unique<server_wire>(loop_, server->GetAddress()));
+  }
+  for (auto i = 0; i < gateways; ++i) {
+    other_gateways_.push_back(std::make_unique<gateway_daemon>(
+        MakeSettings("gateway-" + std::to_string(i + 2)), loop_, log_,
+        counters_));
+    other_gateways_.back()->Start();
+  }
+  Restart();
+  RunFor(milliseconds(200));
+}
+
+auto gateway_harness::Cut(cut_manner manner) -> void {
+  for (const auto& wire : wires_) {
+    wire->Cut(manner);
+  }
+}
+
+auto gateway_harness::Heal() -> void {
+  for (const auto& wire : wires_) {
+    wire->Heal();
+  }
+}
+
+auto gateway_harness::GetAddressFor(const std::string& vm,
+                                    const backend_name& id) const -> host_port {
+  for (auto i = std::size_t{0}; i < wires_.size(); ++i) {
+    if (vm == kFirstGateway && servers[i]->id == id.get()) {
+      return wires_[i]->GetAddress();
+    }
+  }
+  return registry_.Find(id)->status.address;
+}
+
 auto gateway_harness::Restart() -> void {
-  settings_.caller_address =
-      host_port("127.0.0.1:" + std::to_string(FindFreePort()));
-  settings_.readiness_address =
-      host_port("127.0.0.1:" + std::to_string(FindFreePort()));
+  settings_ = MakeSettings(kFirstGateway);
   stopped_gateways_.push_back(std::move(gateway_));
   gateway_ =
       std::make_unique<gateway_daemon>(settings_, loop_, log_, counters_);
@@ -350,6 +391,9 @@
   if (is_coordinator_silent_) {
     return;
   }
+  if (!wires_.empty()) {
+    registry_.Refresh(loop_.get_now());  // the servers go on announcing
+  }
   auto reply = schema::sync_answer();
   reply.set_is_leader(true);
   reply.set_config_number(config_number_);
@@ -361,7 +405,13 @@
   reply.set_roster_source("test");
   reply.set_roster_revision(registry_.get_revision());
   for (const auto* record : registry_.ListSince(0)) {
-    *reply.add_backends() = ToSchema(*record, loop_.get_now());
+    auto* row = reply.add_backends();
+    *row = ToSchema(*record, loop_.get_now());
+    row->set_address(GetAddressFor(request.vm(), record->status.id).get());
+    if (!wires_.empty()) {
+      // Without a number, a server counts as unlisted after some seconds.
+      row->set_number(static_cast<std::uint32_t>(reply.backends_size()));
+    }
   }
   if (knows_origins_) {
     AnswerOrigins(request, reply);
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -16,6 +16,7 @@
 #include "drivers/stream_socket.h"
 #include "main/gateway_daemon.h"
 #include "schema/site.pb.h"
+#include "tests/server_wire.h"
 
 namespace ebony::testing {
 
@@ -134,7 +135,15 @@
   // Gateways before `Restart`, kept because their timers still refer to them.
   std::vector<std::unique_ptr<gateway_daemon>> stopped_gateways_;
   std::deque<server_script> common_scripts_;
-
+  // Links of the first gateway to the servers; empty while it has no such
+  // proxies in between.
+  std::vector<std::unique_ptr<server_wire>> wires_;
+  std::vector<std::unique_ptr<gateway_daemon>> other_gateways_;
+
+  auto MakeSettings(const std::string& vm) -> site_settings;
+  // Returns the address at which a gateway connects to a server.
+  auto GetAddressFor(const std::string& vm, const backend_name& id) const
+      -> host_port;
   auto UpdateBackend(std::size_t server,
                      const std::function<void(backend_status&)>& change)
       -> void;
@@ -175,6 +184,11 @@
                  std::uint32_t slots) -> void;
   // Changes the configuration and waits until the gateway has synced twice.
   auto SetConfig(const std::string& text, std::uint64_t number) -> void;
+  // Puts links that can be cut between the first gateway and all servers, and
+  // starts further gateways that reach the servers without them.
+  auto AddWiresAndGateways(int gateways) -> void;
+  auto Cut(cut_manner manner) -> void;
+  auto Heal() -> void;
   // Replaces the gateway by a new one without configuration and registry.
   auto Restart() -> void;
   // While set, the coordinator leaves syncs unanswered.
