--- a/control/gateway_registry.cc
+++ b/control/gateway_registry.cc
@@ -24,6 +24,18 @@
   return ready;
 }
 
+auto gateway_registry::ListForCallers(mono_time now) const
+    -> std::vector<gateway_info> {
+  const auto ready = ListReady(now);
+  auto usable = std::vector<gateway_info>();
+  for (const auto& info : ready) {
+    if (!info.reaches_no_server) {
+      usable.push_back(info);
+    }
+  }
+  return usable.empty() ? ready : usable;
+}
+
 auto gateway_registry::CountReady(mono_time now) const -> std::size_t {
   auto count = std::size_t{0};
   for (const auto& [vm, info] : gateways_) {
--- a/control/gateway_registry.h
+++ b/control/gateway_registry.h
@@ -17,6 +17,8 @@
   incarnation run;
   bool is_ready = false;
   mono_time last_seen;
+  host_port peer_address;  // for requests that other gateways hand over
+  bool reaches_no_server = false;
 };
 
 // Tracks the gateways that callers may be directed to.
@@ -34,6 +36,9 @@
   auto Update(const gateway_info& info) -> bool;
   // Returns the gateways that are ready and have not timed out.
   auto ListReady(mono_time now) const -> std::vector<gateway_info>;
+  // Returns those of them that callers should use: without those that reach no
+  // server, unless there are no others.
+  auto ListForCallers(mono_time now) const -> std::vector<gateway_info>;
   auto CountReady(mono_time now) const -> std::size_t;
   // Counts the gateways that have not timed out, ready or not.
   auto CountLive(mono_time now) const -> std::size_t;
--- a/core/site_settings.h
+++ b/core/site_settings.h
@@ -22,6 +22,7 @@
   host_port readiness_address;
   host_port operator_address;
   host_port directory_address;
+  host_port peer_address;  // for requests that other gateways hand over
   // First port for requests between daemons; the same on every VM.
   std::uint16_t link_port = 0;
 
--- a/drivers/http_pool.cc
+++ b/drivers/http_pool.cc
@@ -282,6 +282,9 @@
     pool_.RemoveIdle(self);
   }
 
+  auto HasSentBytes() const -> bool {
+    return socket_->get_sent_bytes() > sent_bytes_before_call_;
+  }
   auto get_address() const -> const host_port& { return address_; }
   auto IsReusable(mono_time now, duration max_idle_time) const -> bool {
     return socket_->is_open() &&
@@ -298,6 +301,15 @@
   }
 }
 
+auto pooled_call::CancelIfUnsent() -> bool {
+  const auto connection = connection_.lock();
+  if (connection == nullptr || connection->HasSentBytes()) {
+    return false;
+  }
+  connection->Close();
+  return true;
+}
+
 http_pool::http_pool(event_loop& loop) : loop_(loop) {}
 
 auto http_pool::TakeIdle(const host_port& address, duration max_idle_time)
--- a/drivers/http_pool.h
+++ b/drivers/http_pool.h
@@ -60,6 +60,9 @@
 
   // Cancels the call by closing its connection. No hook is called any more.
   auto Cancel() -> void;
+  // The same if no byte of the call has been sent. Returns whether it has been
+  // cancelled.
+  auto CancelIfUnsent() -> bool;
 };
 
 // Runs HTTP/1.1 calls on persistent connections, one call at a time on each. A
--- a/entry/server_selector.cc
+++ b/entry/server_selector.cc
@@ -40,6 +40,8 @@
       return "no_version";
     case server_verdict::await_trial:
       return "trial";
+    case server_verdict::no_path:
+      return "no_path";
     case server_verdict::no_server:
       break;
   }
@@ -201,6 +203,8 @@
   auto suspected = std::vector<const backend_record*>();
   auto has_server = false;
   auto has_version = false;
+  auto has_unreachable = false;
+  const auto are_closed = are_paths_closed_ && !query.ignores_closed_paths;
   for (const auto& [id, record] : registry_.get_records()) {
     const auto& status = record.status;
     if (status.service != query.service || record.has_left ||
@@ -221,11 +225,15 @@
         (query.avoid != nullptr && query.avoid->contains(id))) {
       continue;
     }
-    if (IsUnreachable(status, now)) {
+    if (are_closed || IsUnreachable(status, now)) {
+      has_unreachable = has_unreachable || !record.is_suspected;
       continue;
     }
     (record.is_suspected ? suspected : candidates).push_back(&record);
   }
+  if (candidates.empty() && has_unreachable && !query.ignores_closed_paths) {
+    return {server_verdict::no_path, nullptr, {}};
+  }
   if (candidates.empty()) {
     // Suspected servers are used only as a last resort.
     candidates = std::move(suspected);
@@ -294,6 +302,21 @@
   newly_unreachable_.push_back(id);
 }
 
+auto server_selector::SetPathsClosed(bool are_closed) -> void {
+  are_paths_closed_ = are_closed;
+  newly_unreachable_.clear();
+  if (are_closed) {
+    return;
+  }
+  for (auto& [id, state] : states_) {
+    state.connect_failures = 0;
+    state.unreachable_until = mono_time();
+    state.next_retry = duration(0);
+    state.ejected_until = mono_time();
+    state.next_ejection = duration(0);
+  }
+}
+
 auto server_selector::TakeUnreachable() -> std::vector<backend_name> {
   return std::exchange(newly_unreachable_, {});
 }
--- a/entry/server_selector.h
+++ b/entry/server_selector.h
@@ -61,6 +61,9 @@
   const software_version* software = nullptr;
   // Set for a request that has waited: only the request limit applies to it.
   bool ignores_prefill_limit = false;
+  // Set for a request that only this gateway can send: it is tried though the
+  // paths to the servers are closed.
+  bool ignores_closed_paths = false;
   const std::set<backend_name>* avoid = nullptr;  // tried before; may be null
 };
 
@@ -70,6 +73,7 @@
   no_replica,   // no server holds the model or adapter
   no_server,    // the service has no server
   no_version,   // no server runs the required software version
+  no_path,      // those that could execute it can't be connected to from here
   await_trial,  // not offered to any: a request like it is on trial
 };
 
@@ -120,6 +124,7 @@
   duration source_delay_{0};
   std::vector<backend_name> newly_unreachable_;
   std::size_t gateway_count_ = 1;
+  bool are_paths_closed_ = false;
 
   auto HoldsModel(const backend_status& status, const server_query& query) const
       -> bool;
@@ -171,6 +176,9 @@
   // Records that no connection to the server could be made. Excludes it for a
   // time that doubles with each failure in a row.
   auto OnUnreachable(const backend_name& id, mono_time now) -> void;
+  // Sets whether no server can be connected to from here. When that ends, what
+  // failed connections said of single servers is forgotten.
+  auto SetPathsClosed(bool are_closed) -> void;
   // Returns the servers that became unreachable since the last call.
   auto TakeUnreachable() -> std::vector<backend_name>;
   // Excludes a server until it restarts, because another server answered at its
--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -335,7 +335,7 @@
 
 auto coordinator_daemon::OnResolve(const response_pointer& answer) -> void {
   auto addresses = std::vector<host_port>();
-  for (const auto& gateway : gateways_.ListReady(loop_.get_now())) {
+  for (const auto& gateway : gateways_.ListForCallers(loop_.get_now())) {
     if (addresses.size() < kMaxDirectoryAddresses) {
       addresses.push_back(gateway.caller_address);
     }
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -10,6 +10,7 @@
 #include "control/drain_acks.h"
 #include "control/gateway_registry.h"
 #include "control/load_totals.h"
+#include "control/peer_choice.h"
 #include "control/permit_allocator.h"
 #include "core/backend_index.h"
 #include "core/backend_registry.h"
@@ -54,6 +55,7 @@
   backend_registry registry_;
   backend_index backend_index_;
   gateway_registry gateways_;
+  peer_lists peer_lists_;
   load_totals load_totals_;
   permit_allocator permit_allocator_;
   // What began each stream, as reported by all gateways to the leader, or by
@@ -152,6 +154,9 @@
                   schema::sync_answer& reply) const -> void;
   auto FillFollowerAnswer(const schema::sync_request& request,
                           schema::sync_answer& reply) -> void;
+  // Fills in the gateways to which the requesting one can hand requests over.
+  auto FillPeers(const schema::sync_request& request,
+                 schema::sync_answer& reply) -> void;
   auto FillRelayedAnswer(const schema::sync_request& request,
                          schema::sync_answer& reply) -> void;
   auto FillGateways(schema::sync_answer& reply) const -> void;
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -1,5 +1,6 @@
 #include <utility>
 
+#include "codec/handover_codec.h"
 #include "codec/site_codec.h"
 #include "main/coordinator_daemon.h"
 #include "main/site_paths.h"
@@ -286,7 +287,9 @@
   const auto now = loop_.get_now();
   gateways_.Update({vm_name(request.vm()), host_port(request.caller_address()),
                     data_centre_name(request.data_centre()),
-                    incarnation(request.incarnation()), request.ready(), now});
+                    incarnation(request.incarnation()), request.ready(), now,
+                    host_port(request.peer_address()),
+                    request.reaches_no_server()});
   RecordLoads(request);
   RecordPermitRequests(request);
   FillLoads(*reply.mutable_loads());
@@ -344,7 +347,8 @@
         loop_.get_now() - std::chrono::milliseconds(row.silent_ms());
     gateways_.Update({vm, host_port(row.caller_address()),
                       data_centre_name(row.data_centre()),
-                      incarnation(row.incarnation()), row.ready(), heard});
+                      incarnation(row.incarnation()), row.ready(), heard,
+                      host_port(row.peer_address()), row.reaches_no_server()});
     drain_acks_.OnRevisionSent(vm, is_current_epoch ? row.told_roster() : 0,
                                heard);
   }
@@ -358,6 +362,19 @@
     row->set_caller_address(gateway.caller_address.get());
     row->set_data_centre(gateway.data_centre.get());
     row->set_ready(true);
+    row->set_peer_address(gateway.peer_address.get());
+    row->set_reaches_no_server(gateway.reaches_no_server);
+  }
+}
+
+auto coordinator_daemon::FillPeers(const schema::sync_request& request,
+                                   schema::sync_answer& reply) -> void {
+  const auto& list = peer_lists_.Get(
+      gateways_, vm_name(request.vm()), data_centre_name(request.data_centre()),
+      request.reaches_no_server(), loop_.get_now());
+  reply.set_peers_digest(list.digest);
+  if (list.digest != request.have_peers()) {
+    AddPeers(reply, list.peers);
   }
 }
 
@@ -393,6 +410,9 @@
     FillOrigins(request, reply);
     HandleCrashes(request, reply);
   }
+  if (is_gateway) {
+    FillPeers(request, reply);
+  }
   if (is_leader && is_gateway) {
     FillGatewayAnswer(request, reply);
   } else if (is_leader) {
@@ -488,7 +508,8 @@
   for (const auto& row : reply.gateways()) {
     gateways_.Update({vm_name(row.vm()), host_port(row.caller_address()),
                       data_centre_name(row.data_centre()), incarnation(),
-                      row.ready(), now});
+                      row.ready(), now, host_port(row.peer_address()),
+                      row.reaches_no_server()});
   }
 }
 
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <utility>
 
+#include "codec/handover_codec.h"
 #include "codec/site_codec.h"
 #include "core/error_kind.h"
 #include "drivers/compression.h"
@@ -16,6 +17,8 @@
 namespace {
 
 constexpr std::size_t kMaxPending = 256;  // requests
+// Requests of other gateways that are accepted at the same time.
+constexpr std::size_t kMaxHandedOver = 512;
 // Maximum number of requests held until the first configuration arrives, and
 // the longest time that each is held.
 constexpr std::size_t kMaxDeferred = 128;
@@ -63,7 +66,16 @@
       permits_(server_permits_options(),
                [this](std::uint64_t bound) { return random_() % bound; }),
       crash_uplink_(guard_.get_ledger()),
-      verifier_(loop, log, counters),
+      paths_(loop, log, counters, registry_.get_registry(), MakePathHooks()),
+      verifier_(loop,
+                log,
+                counters,
+                [this](const std::set<backend_name>& except,
+                       std::function<void(bool)> on_done) {
+                  paths_.ConfirmWithOthers(except, std::move(on_done));
+                }),
+      peers_(settings_.data_centre,
+             [this](std::uint64_t bound) { return random_() % bound; }),
       selector_(server_selector_options(),
                 registry_.get_registry(),
                 permits_,
@@ -83,6 +95,13 @@
            [this] { DispatchPending(); },
            [this](std::uint64_t bound) { return random_() % bound; }}) {}
 
+auto gateway_daemon::MakePathHooks() -> path_monitor::hooks {
+  return {[this] { OnPathsClosed(); }, [this] { OnPathsOpened(); },
+          [this] { ScheduleDispatch(); },
+          [this] { return !peers_.get_peers().empty(); },
+          [this](std::uint64_t bound) { return random_() % bound; }};
+}
+
 auto gateway_daemon::MakeContext() -> proxy_context {
   return proxy_context{
       loop_,
@@ -98,6 +117,8 @@
       origins_,
       guard_,
       verifier_,
+      paths_,
+      peers_,
       first_events_,
       [this](std::uint64_t bound) { return random_() % bound; },
       [this] { link_.SyncSoon(); },
@@ -109,7 +130,7 @@
       },
       0,
       0,
-      loop_.get_now()};
+      0};
 }
 
 auto gateway_daemon::is_ready() const -> bool {
@@ -125,6 +146,9 @@
   request.set_ready(is_ready());
   request.set_have_config(
       route_table_ == nullptr ? 0 : route_table_->get_config().number.get());
+  request.set_peer_address(settings_.peer_address.get());
+  request.set_reaches_no_server(paths_.is_closed());
+  request.set_have_peers(peers_digest_);
   registry_.FillRequest(request);
   for (const auto& [id, load] : selector_.TakeLoadReport()) {
     AddLoad(*request.mutable_loads(), registry_.get_index().GetNumber(id),
@@ -132,7 +156,8 @@
             static_cast<std::uint64_t>(load.tokens));
   }
   for (const auto& id : selector_.TakeUnreachable()) {
-    if (const auto number = registry_.get_index().GetNumber(id); number != 0) {
+    const auto number = registry_.get_index().GetNumber(id);
+    if (number != 0 && !paths_.is_closed()) {
       request.add_unreachable(number);
     }
   }
@@ -249,6 +274,7 @@
   retries_.SetGatewayCount(std::size_t{answer.gateway_count()});
   ApplyPermits(answer);
   ApplyCrashes(answer);
+  ApplyPeers(answer);
   if (!deferred_.empty()) {
     RunDeferredCalls();
   }
@@ -284,6 +310,16 @@
   guard_.OnContact(std::move(held), now);
 }
 
+auto gateway_daemon::ApplyPeers(const schema::sync_answer& answer) -> void {
+  if (answer.peers_digest() == peers_digest_) {
+    return;
+  }
+  peers_digest_ = answer.peers_digest();
+  peers_.SetPeers(GetPeers(answer));
+  log_.Write(event_category::state, "peers_known",
+             {{"count", static_cast<std::int64_t>(answer.peers_size())}});
+}
+
 auto gateway_daemon::ApplyPermits(const schema::sync_answer& answer) -> void {
   const auto now = loop_.get_now();
   if (answer.grants_permits()) {
@@ -496,9 +532,20 @@
     RejectCall(metadata, error_kind::stream_version_gone, kUnavailable, answer);
     return;
   }
+  AddSession(*rule, *service, std::move(call), std::move(metadata),
+             std::move(origin), std::nullopt, answer);
+}
+
+auto gateway_daemon::AddSession(const route_rule& rule,
+                                const service_spec& service,
+                                incoming_request call,
+                                request_metadata metadata,
+                                std::optional<stream_origin> origin,
+                                std::optional<handover_terms> terms,
+                                const response_pointer& answer) -> void {
   const auto session = std::make_shared<proxy_session>(
-      context_, route_table_, *rule, *service, std::move(call),
-      std::move(metadata), std::move(origin), answer);
+      context_, route_table_, rule, service, std::move(call),
+      std::move(metadata), std::move(origin), std::move(terms), answer);
   std::erase_if(sessions_, [](const auto& item) { return item.expired(); });
   sessions_.insert(session);
   session->Start();
@@ -523,7 +570,82 @@
   });
 }
 
-auto gateway_daemon::Start() -> void {
+auto gateway_daemon::DeclineHandover(const request_metadata& metadata,
+                                     error_kind kind,
+                                     const response_pointer& answer) -> void {
+  auto result = handover_result();
+  result.error = kind;
+  result.is_declined = true;
+  auto head = platform::MakeErrorHead(kUnavailable, metadata.id, duration(0));
+  head.fields.push_back({kHandoverResultField, EncodeResult(result)});
+  answer->Respond(std::move(head), {});
+  metrics_.Count("ebony_declined_handovers_total");
+  log_.Write(event_category::request, "handover_declined",
+             {{"request", metadata.id.get()},
+              {"kind", GetErrorAnswer(kind).code.data()},
+              {"active", static_cast<std::int64_t>(context_.handed_over)}});
+}
+
+auto gateway_daemon::OnPeerCall(incoming_request call,
+                                const response_pointer& answer) -> void {
+  auto metadata = platform::DecodeCallerRequest(call.head);
+  const auto* field = call.head.Find(kHandoverField);
+  const auto terms = field == nullptr ? std::nullopt : DecodeTerms(*field);
+  if (!terms) {
+    DeclineHandover(metadata, error_kind::invalid_request, answer);
+    return;
+  }
+  std::erase_if(call.head.fields, [](const http_field& item) {
+    return IsSameFieldName(item.name, kHandoverField);
+  });
+  const auto is_current = route_table_ != nullptr &&
+                          route_table_->get_config().number >= terms->config;
+  if (!is_current) {
+    DeclineHandover(metadata, error_kind::not_current, answer);
+    return;
+  }
+  if (paths_.is_closed()) {
+    DeclineHandover(metadata, error_kind::backend_unreachable, answer);
+    return;
+  }
+  if (context_.handed_over >= kMaxHandedOver) {
+    DeclineHandover(metadata, error_kind::overloaded, answer);
+    return;
+  }
+  const auto* rule = route_table_->Match(metadata.host, metadata.path);
+  const auto* service = rule == nullptr
+                            ? nullptr
+                            : route_table_->FindTarget(*rule, terms->service);
+  if (service == nullptr) {
+    DeclineHandover(metadata, error_kind::not_found, answer);
+    return;
+  }
+  auto origin = std::optional<stream_origin>();
+  if (terms->software) {
+    origin = stream_origin{service->name, *terms->software};
+  }
+  AddSession(*rule, *service, std::move(call), std::move(metadata),
+             std::move(origin), terms, answer);
+}
+
+auto gateway_daemon::OnPathsClosed() -> void {
+  selector_.SetPathsClosed(true);
+  link_.SyncSoon();
+  const auto sessions = sessions_;
+  for (const auto& item : sessions) {
+    if (const auto session = item.lock()) {
+      session->OnPathsClosed();
+    }
+  }
+}
+
+auto gateway_daemon::OnPathsOpened() -> void {
+  selector_.SetPathsClosed(false);
+  link_.SyncSoon();
+  ScheduleDispatch();
+}
+
+auto gateway_daemon::MakeCallerOptions() -> http_listener::options {
   auto options = http_listener::options();
   options.get_limits = [this] {
     auto limits = connection_limits();
@@ -537,6 +659,18 @@
     return limits;
   };
   options.is_closing = [this] { return is_draining_; };
+  return options;
+}
+
+auto gateway_daemon::Start() -> void {
+  const auto options = MakeCallerOptions();
+  if (settings_.peer_address != host_port()) {
+    peer_listener_ = std::make_unique<http_listener>(
+        loop_, settings_.peer_address, options,
+        [this](incoming_request call, const response_pointer& answer) {
+          OnPeerCall(std::move(call), answer);
+        });
+  }
   caller_listener_ = std::make_unique<http_listener>(
       loop_, settings_.caller_address, options,
       [this](incoming_request call, const response_pointer& answer) {
@@ -556,6 +690,7 @@
         answer->Respond(std::move(head), {});
       });
   link_.Start();
+  paths_.Start();
 }
 
 auto gateway_daemon::Drain() -> void {
@@ -586,6 +721,10 @@
     }
   }
   caller_listener_->CloseIdle();
+  if (peer_listener_ != nullptr) {
+    peer_listener_->StopAccepting();
+    peer_listener_->CloseIdle();
+  }
   is_drained_ = true;
 }
 
--- a/main/gateway_daemon.h
+++ b/main/gateway_daemon.h
@@ -17,6 +17,7 @@
 #include "drivers/http_listener.h"
 #include "drivers/http_pool.h"
 #include "entry/crash_guard.h"
+#include "entry/peer_selector.h"
 #include "entry/pending_queue.h"
 #include "entry/retry_allowance.h"
 #include "entry/route_table.h"
@@ -25,6 +26,7 @@
 #include "entry/stream_origins.h"
 #include "main/crash_uplink.h"
 #include "main/gateway_link.h"
+#include "main/path_monitor.h"
 #include "main/proxy_session.h"
 #include "main/registry_replica.h"
 #include "main/run_verifier.h"
@@ -45,7 +47,10 @@
   stream_origins origins_;
   crash_guard guard_;
   crash_uplink crash_uplink_;
+  path_monitor paths_;
   run_verifier verifier_;
+  peer_selector peers_;
+  std::uint64_t peers_digest_ = 0;  // of the peers that the coordinator listed
   software_history software_;
   server_selector selector_;
   retry_allowance retries_;
@@ -73,7 +78,9 @@
   bool is_drained_ = false;
   std::unique_ptr<http_listener> caller_listener_;
   std::unique_ptr<http_listener> readiness_listener_;
+  std::unique_ptr<http_listener> peer_listener_;
 
+  auto MakePathHooks() -> path_monitor::hooks;
   auto MakeContext() -> proxy_context;
   auto MakeRequest() -> schema::sync_request;
   auto OnSyncAnswer(const schema::sync_answer& answer) -> void;
@@ -81,6 +88,7 @@
   // Returns true if the answer is the first of another leader or relay.
   auto ApplyRegistry(const schema::sync_answer& answer) -> bool;
   auto ApplyPermits(const schema::sync_answer& answer) -> void;
+  auto ApplyPeers(const schema::sync_answer& answer) -> void;
   auto ApplyCrashes(const schema::sync_answer& answer) -> void;
   auto OnBackendChanged(const backend_record& record, mono_time now) -> void;
   auto OnCall(incoming_request call, const response_pointer& answer) -> void;
@@ -100,6 +108,25 @@
                    request_metadata metadata,
                    std::optional<stream_origin> origin,
                    const response_pointer& answer) -> void;
+  auto AddSession(const route_rule& rule,
+                  const service_spec& service,
+                  incoming_request call,
+                  request_metadata metadata,
+                  std::optional<stream_origin> origin,
+                  std::optional<handover_terms> terms,
+                  const response_pointer& answer) -> void;
+  // A request that another gateway hands over, because it cannot connect to the
+  // servers.
+  auto OnPeerCall(incoming_request call, const response_pointer& answer)
+      -> void;
+  // Tells the other gateway that the request has not run and that another one
+  // may serve it.
+  auto DeclineHandover(const request_metadata& metadata,
+                       error_kind kind,
+                       const response_pointer& answer) -> void;
+  auto MakeCallerOptions() -> http_listener::options;
+  auto OnPathsClosed() -> void;
+  auto OnPathsOpened() -> void;
   // Returns what began a stream, as far as this gateway is sure of it.
   auto FindOrigin(const route_rule& rule, const request_metadata& metadata)
       -> std::optional<stream_origin>;
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -40,6 +40,7 @@
                              incoming_request call,
                              request_metadata metadata,
                              std::optional<stream_origin> origin,
+                             std::optional<handover_terms> terms,
                              response_pointer answer)
     : context_(context),
       route_table_(std::move(table)),
@@ -52,22 +53,29 @@
                                   call_.head.method,
                                   call_.head.target,
                                   call_.body)),
+      terms_(std::move(terms)),
       suspects_(GetSuspects(metadata_, fingerprint_, service.name)),
       origin_(std::move(origin)),
       stream_(rule.retry == retry_policy::resumable) {
   const auto limit =
       std::min(rule_.time_limit, metadata_.deadline.value_or(rule_.time_limit));
   deadline_ = call_.received_at + limit;
+  if (terms_) {
+    tried_servers_ = {terms_->tried.begin(), terms_->tried.end()};
+  }
 }
 
 auto proxy_session::Start() -> void {
   ++context_.active_sessions;
+  context_.handed_over += IsHandedOver() ? 1 : 0;
   const auto self = shared_from_this();
   answer_->SetOnDisconnect([self] { self->OnCallerGone(); });
   deadline_timer_ =
       context_.loop.AddTimer(deadline_, [self] { self->OnDeadline(); });
-  context_.retries.OnRequest(service_.name, context_.loop.get_now());
-  if (IsEngine()) {
+  if (!IsHandedOver()) {
+    context_.retries.OnRequest(service_.name, context_.loop.get_now());
+  }
+  if (IsEngine() && !IsHandedOver()) {
     auto& count =
         context_.demand[{service_.name, metadata_.model, metadata_.adapter}];
     ++count.arrived;
@@ -84,7 +92,7 @@
   return deadline_ - context_.loop.get_now();
 }
 
-auto proxy_session::MakeQuery() const -> server_query {
+auto proxy_session::MakeQuery() -> server_query {
   auto query = server_query();
   query.service = service_.name;
   query.is_engine = IsEngine();
@@ -93,14 +101,16 @@
   query.prompt_tokens = static_cast<double>(metadata_.prompt_tokens);
   query.ignores_prefill_limit = is_overdue_;
   query.avoid = &tried_servers_;
+  query.ignores_closed_paths = !CanHandOver();
   query.software = origin_ ? &origin_->software : nullptr;
   return query;
 }
 
 auto proxy_session::HasAlternativeServer() -> bool {
   const auto now = context_.loop.get_now();
-  return context_.selector.Choose(MakeQuery(), now).verdict ==
-             server_verdict::chosen &&
+  const auto verdict = context_.selector.Choose(MakeQuery(), now).verdict;
+  return (verdict == server_verdict::chosen ||
+          verdict == server_verdict::no_path) &&
          context_.retries.CanRetry(service_.name, now);
 }
 
@@ -118,7 +128,16 @@
 }
 
 auto proxy_session::TryDispatch() -> void {
-  if (!PassesGuard()) {
+  // What only a peer can send is tried under the peer's guard.
+  const auto is_left_to_peer = context_.paths.is_closed() && CanHandOver();
+  if (is_left_to_peer ? !PassesQuarantine() : !PassesGuard()) {
+    return;
+  }
+  if (MustAwaitPaths()) {
+    queue_reason_ = server_verdict::no_path;
+    if (!position_) {
+      Enqueue(server_verdict::no_path);
+    }
     return;
   }
   const auto now = context_.loop.get_now();
@@ -131,6 +150,10 @@
     Dispatch(*choice.server);
     return;
   }
+  if (choice.verdict == server_verdict::no_path) {
+    HandOver();
+    return;
+  }
   queue_reason_ = choice.verdict;
   if (!position_) {
     Enqueue(choice.verdict);
@@ -143,6 +166,8 @@
 auto proxy_session::Dispatch(const backend_status& server) -> void {
   const auto now = context_.loop.get_now();
   ++attempts_;
+  peer_ = vm_name();
+  peer_result_.reset();
   server_ = server.id;
   server_address_ = server.address;
   evidence_ = context_.guard.OnSent(suspects_, now);
@@ -151,13 +176,6 @@
   server_start_time_ms_ = server.start_time_ms;
   server_software_ = server.software;
   tried_servers_.insert(server.id);
-  sent_at_ = now;
-  connection_failure_.reset();
-  response_head_ = http_head();
-  server_answer_ = server_answer();
-  response_body_.clear();
-  CountBuffered();
-  stream_.StartRun();
   prefill_tokens_ = static_cast<double>(metadata_.prompt_tokens);
   const auto requests = context_.selector.GetLoad(server_, now).requests;
   found_idle_server_ = requests <= kMaxRequestsOfIdleServer;
@@ -177,13 +195,6 @@
   if (const auto last = stream_.get_last_event_id(); last > 0) {
     forward.resume_after = std::to_string(last);
   }
-  const auto head =
-      platform::MakeForwardedHead(call_.head, forward, call_.body.size());
-  auto options = call_options();
-  options.connect_timeout = kConnectTimeout;
-  options.max_idle_time = rule_.retry == retry_policy::idempotent
-                              ? kMaxIdleIdempotent
-                              : kMaxIdleRunOnce;
   context_.log.Write(
       event_category::request, "sent",
       {{"request", metadata_.id.get()},
@@ -201,9 +212,29 @@
                     context_.selector.GetLoad(server_, now).requests)},
        {"permit", std::string(GetPermitSourceText(permit))},
        {"left_ms", forward.time_left}});
-  attempt_ = context_.pool.Start(
-      server.address, RenderRequestHead(head).append(call_.body),
-      call_.head.method == "HEAD", options, MakeHooks());
+  context_.paths.OnAttemptStarted();
+  StartAttempt(server.address, platform::MakeForwardedHead(call_.head, forward,
+                                                           call_.body.size()));
+}
+
+auto proxy_session::StartAttempt(const host_port& address,
+                                 const http_head& head) -> void {
+  sent_at_ = context_.loop.get_now();
+  last_received_ = sent_at_;
+  connection_failure_.reset();
+  response_head_ = http_head();
+  server_answer_ = server_answer();
+  response_body_.clear();
+  CountBuffered();
+  stream_.StartRun();
+  auto options = call_options();
+  options.connect_timeout = kConnectTimeout;
+  options.max_idle_time = rule_.retry == retry_policy::idempotent
+                              ? kMaxIdleIdempotent
+                              : kMaxIdleRunOnce;
+  attempt_ =
+      context_.pool.Start(address, RenderRequestHead(head).append(call_.body),
+                          call_.head.method == "HEAD", options, MakeHooks());
   ArmStallTimer();
 }
 
@@ -234,8 +265,12 @@
 }
 
 auto proxy_session::OnConnected() -> void {
+  if (!IsDirect()) {
+    return;
+  }
   context_.counters.Count(
       "ebony_server_connections_total{result=\"accepted\"}");
+  context_.paths.OnConnected();
 }
 
 auto proxy_session::GetConnectionText() const -> std::string_view {
@@ -282,6 +317,11 @@
     return;
   }
   attempt_ = nullptr;
+  if (!IsDirect()) {
+    context_.peers.OnEnded(peer_);
+    return;
+  }
+  context_.paths.OnAttemptEnded();
   context_.selector.OnEnded(server_, prefill_tokens_);
   RecordServiceTime();
   prefill_tokens_ = 0;
@@ -293,7 +333,9 @@
     return false;
   }
   if (outcome == attempt_outcome::not_sent) {
-    return connect_failures_ <= kMaxConnectFailures;
+    const auto has_peer = context_.paths.is_closed() && CanHandOver();
+    return connect_failures_ <= kMaxConnectFailures || has_peer ||
+           MustAwaitPaths();
   }
   if (outcome == attempt_outcome::not_run &&
       not_run_answers_ > kMaxNotRunAnswers) {
@@ -311,13 +353,22 @@
   const auto is_broken_off = outcome == attempt_outcome::interrupted ||
                              outcome == attempt_outcome::truncated ||
                              outcome == attempt_outcome::invalid;
+  if (is_broken_off && IsDirect()) {
+    context_.paths.OnDoubt();
+  }
+  if (is_broken_off && !IsDirect()) {
+    // The peer looks for a crash of the server.
+    may_have_run_ = true;
+    ConcludeAttempt(outcome);
+    return;
+  }
   if (is_broken_off && !is_proven_) {
     may_have_run_ = true;
     CheckForCrash([self, outcome] { self->ConcludeAttempt(outcome); });
     return;
   }
   const auto is_unframed_success = outcome == attempt_outcome::complete &&
-                                   !is_proven_ &&
+                                   IsDirect() && !is_proven_ &&
                                    server_answer_.status < kFirstNonSuccess;
   if (is_unframed_success) {
     // Its end may be that of the server; the caller need not wait for the
@@ -334,13 +385,12 @@
   const auto self = shared_from_this();
   const auto now = context_.loop.get_now();
   context_.guard.EndTrial(evidence_);
+  if (!IsDirect() && server_ != backend_name()) {
+    tried_servers_.insert(server_);
+  }
   if (outcome == attempt_outcome::not_sent) {
-    context_.counters.Count("ebony_server_connections_total{result=\"" +
-                            std::string(GetConnectionText()) + "\"}");
     --attempts_;
-    ++connect_failures_;
-    context_.selector.OnUnreachable(server_, now);
-    context_.permits.OnNotSent(server_, now);
+    RecordUnsent();
   } else if (outcome == attempt_outcome::not_run) {
     --attempts_;
     ++not_run_answers_;
@@ -350,7 +400,7 @@
   summary.answer = server_answer_;
   summary.retry_rule = rule_.retry;
   summary.attempts = attempts_;
-  summary.max_attempts = rule_.max_attempts;
+  summary.max_attempts = GetMaxAttempts();
   summary.may_have_run = may_have_run_;
   summary.has_delivered_events = answer_->has_begun();
   const auto is_misdirected = outcome == attempt_outcome::not_run &&
@@ -358,15 +408,8 @@
                               server_answer_.backend != server_;
   if (is_misdirected) {
     context_.selector.OnMisdirected(server_);
-  } else if (outcome == attempt_outcome::complete &&
-             server_answer_.status < 500) {
-    context_.selector.OnAnswered(server_);
-  } else if (outcome != attempt_outcome::not_run &&
-             context_.selector.OnFailed(server_, now)) {
-    context_.counters.Count("ebony_ejections_total");
-    context_.log.Write(
-        event_category::state, "backend_ejected",
-        {{"backend", server_.get()}, {"request", metadata_.id.get()}});
+  } else if (IsDirect()) {
+    RecordServerOutcome(outcome);
   }
   auto action = outcome == attempt_outcome::complete && is_streaming_
                     ? attempt_action::deliver
@@ -381,9 +424,10 @@
         event_category::request, "attempt_ended",
         {{"request", metadata_.id.get()},
          {"backend", server_.get()},
+         {"peer", peer_.get()},
          {"end", std::string(GetAttemptOutcomeText(outcome))},
          {"connection", std::string(GetConnectionText())},
-         {"silent_ms", duration(now - context_.last_server_bytes)},
+         {"silent_ms", duration(now - context_.paths.get_last_bytes())},
          {"status", static_cast<std::int64_t>(server_answer_.status)},
          {"framing", GetFramingText()},
          {"events", static_cast<std::int64_t>(stream_.get_events())},
@@ -421,8 +465,43 @@
   }
 }
 
+// A VM that reaches no server fails at all of them, which says nothing of each.
+auto proxy_session::RecordServerOutcome(attempt_outcome outcome) -> void {
+  if (outcome == attempt_outcome::complete && server_answer_.status < 500) {
+    context_.selector.OnAnswered(server_);
+    return;
+  }
+  const auto is_failure =
+      outcome != attempt_outcome::not_run && !context_.paths.is_closed() &&
+      context_.selector.OnFailed(server_, context_.loop.get_now());
+  if (is_failure) {
+    context_.counters.Count("ebony_ejections_total");
+    context_.log.Write(
+        event_category::state, "backend_ejected",
+        {{"backend", server_.get()}, {"request", metadata_.id.get()}});
+  }
+}
+
+auto proxy_session::RecordUnsent() -> void {
+  const auto now = context_.loop.get_now();
+  if (!IsDirect()) {
+    context_.peers.OnFailed(peer_, now);
+    return;
+  }
+  context_.counters.Count("ebony_server_connections_total{result=\"" +
+                          std::string(GetConnectionText()) + "\"}");
+  ++connect_failures_;
+  context_.selector.OnUnreachable(server_, now);
+  context_.permits.OnNotSent(server_, now);
+  context_.paths.OnDoubt();
+}
+
+auto proxy_session::GetMaxAttempts() const -> int {
+  return IsHandedOver() ? 1 : rule_.max_attempts;
+}
+
 auto proxy_session::GetStallTimeout() const -> duration {
-  const auto has_attempts = attempts_ < rule_.max_attempts;
+  const auto has_attempts = attempts_ < GetMaxAttempts();
   if (!has_attempts) {
     return duration(0);
   }
@@ -451,6 +530,9 @@
   if (is_finished_ || attempt_ == nullptr) {
     return;
   }
+  if (IsDirect()) {
+    context_.paths.OnDoubt();
+  }
   if (!HasAlternativeServer()) {
     ArmStallTimer();
     return;
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -10,6 +10,7 @@
 
 #include "core/error_kind.h"
 #include "core/metrics.h"
+#include "core/peer_gateway.h"
 #include "core/request_metadata.h"
 #include "core/service_samples.h"
 #include "drivers/event_log.h"
@@ -18,6 +19,7 @@
 #include "drivers/http_pool.h"
 #include "entry/attempt_policy.h"
 #include "entry/crash_guard.h"
+#include "entry/peer_selector.h"
 #include "entry/pending_queue.h"
 #include "entry/retry_allowance.h"
 #include "entry/route_table.h"
@@ -26,6 +28,7 @@
 #include "entry/stream_assembler.h"
 #include "entry/stream_origins.h"
 #include "entry/wait_estimator.h"
+#include "main/path_monitor.h"
 #include "main/run_verifier.h"
 
 namespace ebony {
@@ -57,6 +60,8 @@
   stream_origins& origins;
   crash_guard& guard;
   run_verifier& verifier;
+  path_monitor& paths;
+  peer_selector& peers;
   first_event_sums& first_events;
   // Returns a random number in [0, bound).
   std::function<std::uint64_t(std::uint64_t)> random;
@@ -71,8 +76,8 @@
   // Returns true while new streams are rejected, late in a drain.
   std::function<bool()> rejects_streams;
   std::size_t active_sessions = 0;  // sessions without a final answer
+  std::size_t handed_over = 0;      // of these, for other gateways
   std::size_t buffered_bytes = 0;   // of the answers that sessions hold
-  mono_time last_server_bytes;      // when any server sent something
 };
 
 // Proxies one caller's request from its arrival to its final answer: queues it
@@ -87,6 +92,9 @@
   response_pointer answer_;
   request_metadata metadata_;
   request_fingerprint fingerprint_;
+  // Set for a request that another gateway handed over: one attempt is made at
+  // it, and the answer says what became of it.
+  std::optional<handover_terms> terms_;
   mono_time deadline_;
   timer_id deadline_timer_;
   bool is_finished_ = false;
@@ -104,6 +112,10 @@
   int connect_failures_ = 0;  // servers that could not be connected to
   int not_run_answers_ = 0;   // servers that stated that they did not run it
   std::set<backend_name> tried_servers_;
+  std::set<vm_name> tried_peers_;
+  // The peer that the latest attempt was handed over to; empty: none.
+  vm_name peer_;
+  std::optional<handover_result> peer_result_;  // of the latest attempt
   bool may_have_run_ = false;
   std::unique_ptr<pooled_call> attempt_;  // in flight, or null
   timer_id stall_timer_;
@@ -111,6 +123,7 @@
   std::uint64_t server_start_time_ms_ = 0;
   software_version server_software_;
   mono_time sent_at_;
+  mono_time last_received_;  // from the latest attempt's server or peer
   // Prompt tokens that count towards the server's load until its first event.
   double prefill_tokens_ = 0;
   // At the latest attempt.
@@ -147,16 +160,37 @@
 
   auto IsEngine() const -> bool { return service_.engine.has_value(); }
   auto GetTimeLeft() const -> duration;
-  auto MakeQuery() const -> server_query;
+  auto MakeQuery() -> server_query;
   // Returns true if the request could be retried on another server now.
   auto HasAlternativeServer() -> bool;
   auto ChooseServer() -> server_choice;
   auto TryDispatch() -> void;
+  auto IsHandedOver() const -> bool { return terms_.has_value(); }
+  auto GetMaxAttempts() const -> int;
+  // Returns true if a peer could be asked to make the next attempt.
+  auto CanHandOver() -> bool;
+  // Returns true while it is being found out whether any server can be
+  // connected to, after a connection for this request has failed.
+  auto MustAwaitPaths() -> bool;
+  // Lets a peer make the next attempt.
+  auto HandOver() -> void;
+  // Ends an attempt whose peer answered with an error of its own.
+  auto OnPeerError(const handover_result& result) -> void;
+  // Returns true if the latest attempt is over a connection of this gateway.
+  auto IsDirect() const -> bool { return peer_ == vm_name(); }
+  // Adds to an answer what the gateway that handed the request over needs.
+  auto AddResult(http_head head, const handover_result& result) const
+      -> http_head;
+  auto GetServerResult() const -> handover_result;
+  auto StartAttempt(const host_port& address, const http_head& head) -> void;
   // Queues the request, or rejects it if waiting cannot help.
   auto Enqueue(server_verdict reason) -> void;
   // Returns true if the guard lets the request go to a server. Otherwise, the
   // request is queued or has its final answer.
   auto PassesGuard() -> bool;
+  // The same, but a trial is not asked for.
+  auto PassesQuarantine() -> bool;
+  auto RejectQuarantined(duration quarantine_left) -> void;
   auto GetServerRun() const -> server_run;
   // Records that the latest attempt ran without a crash of its server.
   auto RecordRun() -> void;
@@ -186,6 +220,7 @@
   // Returns what became of the latest attempt's connection, for log lines.
   auto GetConnectionText() const -> std::string_view;
   auto OnHead(const http_head& head) -> bool;
+  auto RecordBytes() -> void;
   // Records what an answer says of the server's limit of requests.
   auto RecordLimit(const server_answer& answer) -> void;
   auto OnBody(std::string_view bytes) -> void;
@@ -207,6 +242,9 @@
   // Decides what follows the attempt, once it is known whether its server has
   // crashed.
   auto ConcludeAttempt(attempt_outcome outcome) -> void;
+  auto RecordServerOutcome(attempt_outcome outcome) -> void;
+  // Records that no byte of the latest attempt was sent.
+  auto RecordUnsent() -> void;
   auto ReleaseServer() -> void;
   auto RecordServiceTime() -> void;
   auto ArmStallTimer() -> void;
@@ -230,6 +268,7 @@
                 incoming_request call,
                 request_metadata metadata,
                 std::optional<stream_origin> origin,
+                std::optional<handover_terms> terms,
                 response_pointer answer);
 
   // Starts to process the request. Called once.
@@ -239,6 +278,8 @@
   auto RetryDispatch() -> void;
   // Rejects the request after the queue has evicted it for a more urgent one.
   auto OnEvicted() -> void;
+  // No server can be connected to from here any more.
+  auto OnPathsClosed() -> void;
   // Aborts the request because the gateway stops.
   auto Stop() -> void;
 };
--- a/main/proxy_session_answer.cc
+++ b/main/proxy_session_answer.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "codec/handover_codec.h"
 #include "main/proxy_session.h"
 #include "platform/request_codec.h"
 
@@ -23,10 +24,24 @@
 constexpr int kOk = 200;
 constexpr int kFirstNonSuccess = 300;  // lowest status that is not a success
 
+// Returns what a peer says of its answer; nothing if that is unreadable.
+auto TakePeerResult(const http_head& head) -> std::optional<handover_result> {
+  const auto* field = head.Find(kHandoverResultField);
+  return field == nullptr ? std::nullopt : DecodeResult(*field);
+}
+
 }  // namespace
 
 auto proxy_session::OnHead(const http_head& head) -> bool {
-  context_.last_server_bytes = context_.loop.get_now();
+  RecordBytes();
+  if (!IsDirect()) {
+    peer_result_ = TakePeerResult(head);
+    if (peer_result_) {
+      server_ = peer_result_->backend;
+      server_start_time_ms_ = peer_result_->start_time_ms;
+      server_software_ = peer_result_->software;
+    }
+  }
   const auto decoded = platform::DecodeServerAnswer(head);
   if (decoded.echoed_id != caller_request_id() &&
       decoded.echoed_id != metadata_.id) {
@@ -34,15 +49,27 @@
     return false;
   }
   response_head_ = head;
+  std::erase_if(response_head_.fields, [](const http_field& field) {
+    return IsSameFieldName(field.name, kHandoverResultField);
+  });
   server_answer_ = decoded;
-  evidence_.has_just_begun = decoded.status < kFirstNonSuccess;
-  RecordLimit(decoded);
+  if (IsDirect()) {
+    evidence_.has_just_begun = decoded.status < kFirstNonSuccess;
+    RecordLimit(decoded);
+  }
   is_streaming_ = rule_.is_stream && call_.head.method != "HEAD" &&
                   head.status == kOk && decoded.is_signed &&
                   !decoded.has_content_encoding && decoded.is_event_stream;
   return true;
 }
 
+auto proxy_session::RecordBytes() -> void {
+  last_received_ = context_.loop.get_now();
+  if (IsDirect()) {
+    context_.paths.OnBytes();
+  }
+}
+
 // Only a success ends a limit: errors may come from a part of the server that
 // does not know of it.
 auto proxy_session::RecordLimit(const server_answer& answer) -> void {
@@ -76,7 +103,7 @@
 auto proxy_session::OnBody(std::string_view bytes) -> void {
   const auto self = shared_from_this();  // the attempt may be cancelled here
   evidence_.has_just_begun = false;
-  context_.last_server_bytes = context_.loop.get_now();
+  RecordBytes();
   if (!is_streaming_) {
     BufferBody(bytes);
     return;
@@ -157,7 +184,8 @@
   }
   if (!answer_->has_begun()) {
     RecordOrigin();
-    answer_->Begin(platform::MakeCallerHead(response_head_));
+    answer_->Begin(
+        AddResult(platform::MakeCallerHead(response_head_), GetServerResult()));
   }
   RecordWrite();
   answer_->Append(bytes);
@@ -176,6 +204,14 @@
 }
 
 auto proxy_session::OnComplete() -> void {
+  if (!IsDirect() && !peer_result_) {
+    OnAttemptEnd(attempt_outcome::invalid);
+    return;
+  }
+  if (!IsDirect() && peer_result_->error) {
+    OnPeerError(*peer_result_);
+    return;
+  }
   if (server_answer_.not_run) {
     OnAttemptEnd(attempt_outcome::not_run);
     return;
--- a/main/proxy_session_end.cc
+++ b/main/proxy_session_end.cc
@@ -68,12 +68,15 @@
 auto proxy_session::Deliver() -> void {
   if (is_streaming_) {
     if (!answer_->has_begun()) {
-      answer_->Begin(platform::MakeCallerHead(response_head_));
+      answer_->Begin(AddResult(platform::MakeCallerHead(response_head_),
+                               GetServerResult()));
     }
     answer_->Append(stream_.get_remainder());  // line ends, if any
     answer_->Finish();
   } else {
-    answer_->Respond(platform::MakeCallerHead(response_head_), response_body_);
+    answer_->Respond(
+        AddResult(platform::MakeCallerHead(response_head_), GetServerResult()),
+        response_body_);
   }
   Finish("delivered", response_head_.status);
 }
@@ -99,8 +102,15 @@
                       {"kind", std::string(GetErrorAnswer(kind).code)},
                       {"left_ms", inputs.time_left},
                       {"return_ms", retry_after}});
-  answer_->Respond(
-      platform::MakeErrorHead(kUnavailable, metadata_.id, retry_after), {});
+  auto result = handover_result();
+  result.error = kind;
+  result.is_declined =
+      kind == error_kind::backend_unreachable || kind == error_kind::draining;
+  result.retry_after = retry_after;
+  answer_->Respond(AddResult(platform::MakeErrorHead(kUnavailable, metadata_.id,
+                                                     retry_after),
+                             result),
+                   {});
   Finish(GetErrorAnswer(kind).code.data(), kUnavailable);
 }
 
@@ -113,15 +123,20 @@
     return;
   }
   if (error_response_) {
-    answer_->Respond(platform::MakeCallerHead(error_response_->head),
+    answer_->Respond(AddResult(platform::MakeCallerHead(error_response_->head),
+                               GetServerResult()),
                      error_response_->body);
     Finish("delivered_failure", error_response_->head.status);
     return;
   }
   const auto status =
       kind == error_kind::deadline_exceeded ? kGatewayTimeout : kBadGateway;
-  answer_->Respond(platform::MakeErrorHead(status, metadata_.id, duration(0)),
-                   {});
+  auto result = handover_result();
+  result.error = kind;
+  answer_->Respond(
+      AddResult(platform::MakeErrorHead(status, metadata_.id, duration(0)),
+                result),
+      {});
   Finish(GetErrorAnswer(kind).code.data(), status);
 }
 
@@ -136,6 +151,7 @@
   }
   is_finished_ = true;
   --context_.active_sessions;
+  context_.handed_over -= IsHandedOver() ? 1 : 0;
   context_.loop.CancelTimer(deadline_timer_);
   context_.loop.CancelTimer(queue_timer_);
   context_.loop.CancelTimer(stall_timer_);
@@ -153,6 +169,8 @@
        {"outcome", outcome},
        {"status", static_cast<std::int64_t>(status)},
        {"backend", server_.get()},
+       {"peer", peer_.get()},
+       {"handed_over", IsHandedOver() ? "yes" : "no"},
        {"attempts", static_cast<std::int64_t>(attempts_)},
        {"config",
         static_cast<std::int64_t>(route_table_->get_config().number.get())},
--- a/main/proxy_session_guard.cc
+++ b/main/proxy_session_guard.cc
@@ -23,10 +23,24 @@
     case guard_verdict::quarantined:
       break;
   }
+  RejectQuarantined(decision.quarantine_left);
+  return false;
+}
+
+auto proxy_session::PassesQuarantine() -> bool {
+  const auto left =
+      context_.guard.GetQuarantineLeft(suspects_, context_.loop.get_now());
+  if (left <= duration(0)) {
+    return true;
+  }
+  RejectQuarantined(left);
+  return false;
+}
+
+auto proxy_session::RejectQuarantined(duration quarantine_left) -> void {
   context_.counters.Count("ebony_quarantine_rejections_total");
   LeaveQueue();
-  Reject(error_kind::crashes_servers, decision.quarantine_left);
-  return false;
+  Reject(error_kind::crashes_servers, quarantine_left);
 }
 
 auto proxy_session::GetServerRun() const -> server_run {
@@ -34,7 +48,7 @@
 }
 
 auto proxy_session::RecordRun() -> void {
-  if (std::exchange(is_proven_, true)) {
+  if (!IsDirect() || std::exchange(is_proven_, true)) {
     return;
   }
   const auto cleared = context_.guard.OnRan(suspects_, context_.loop.get_now());
--- a/main/proxy_session_queue.cc
+++ b/main/proxy_session_queue.cc
@@ -27,6 +27,9 @@
 constexpr duration kResumeQueueTimeout = std::chrono::seconds(2);
 // Queue timeout of a request that awaits a trial: as long as a few trials take.
 constexpr duration kTrialQueueTimeout = std::chrono::milliseconds(1200);
+// Queue timeout of a request that waits to hear whether any server can be
+// connected to.
+constexpr duration kPathQueueTimeout = std::chrono::milliseconds(500);
 // Time from the first request for a missing model to the start of its load.
 constexpr duration kLoadStartDelay = std::chrono::milliseconds(300);
 
@@ -39,6 +42,8 @@
       return error_kind::trial_pending;
     case server_verdict::no_version:
       return error_kind::stream_version_gone;
+    case server_verdict::no_path:
+      return error_kind::backend_unreachable;
     case server_verdict::chosen:
     case server_verdict::no_replica:
     case server_verdict::no_server:
@@ -89,6 +94,9 @@
         kQueueTimeoutFraction *
         static_cast<double>(rule_.latency_objective.count())));
   }
+  if (reason == server_verdict::no_path) {
+    return kPathQueueTimeout;
+  }
   if (reason == server_verdict::await_trial) {
     return std::min(kTrialQueueTimeout, GetCallerTimeout() / 2);
   }
@@ -135,6 +143,11 @@
     Reject(error_kind::stream_version_gone, duration(0));
     return;
   }
+  if (IsHandedOver() && reason == server_verdict::no_replica) {
+    // The gateway that handed it over knows of a replica, and other peers.
+    Reject(error_kind::backend_unreachable, duration(0));
+    return;
+  }
   const auto is_first_attempt = tried_servers_.empty();
   if (reason == server_verdict::no_replica && IsEngine() && is_first_attempt) {
     ++context_.demand[{service_.name, metadata_.model, metadata_.adapter}]
@@ -145,11 +158,12 @@
   // or if its stream has begun.
   const auto may_wait = is_first_attempt || reason == server_verdict::busy ||
                         reason == server_verdict::await_trial ||
+                        reason == server_verdict::no_path ||
                         answer_->has_begun();
   const auto limit =
       may_wait ? std::min(GetQueueTimeout(reason), GetTimeLeft()) : duration(0);
-  const auto is_absent =
-      reason != server_verdict::busy && reason != server_verdict::await_trial;
+  const auto is_absent = reason == server_verdict::no_replica ||
+                         reason == server_verdict::no_server;
   if (limit <= duration(0)) {
     Reject(GetVerdictError(reason),
            is_absent ? GetModelLoadTime() : GetOverloadWait());
--- a/main/run_verifier.cc
+++ b/main/run_verifier.cc
@@ -12,11 +12,38 @@
 constexpr duration kCheckTimeLimit = std::chrono::milliseconds(250);
 // Ended runs that are remembered.
 constexpr std::size_t kMaxEnded = 4096;
+// Time for which a server that ended is not asked to confirm.
+constexpr duration kRestartTime = std::chrono::seconds(2);
 
 }  // namespace
 
-run_verifier::run_verifier(event_loop& loop, event_log& log, metrics& counters)
-    : loop_(loop), log_(log), metrics_(counters) {}
+run_verifier::run_verifier(event_loop& loop,
+                           event_log& log,
+                           metrics& counters,
+                           confirmation confirm)
+    : loop_(loop),
+      log_(log),
+      metrics_(counters),
+      confirm_(std::move(confirm)) {}
+
+auto run_verifier::OnRefused(const backend_name& id, server_run run) -> void {
+  const auto now = loop_.get_now();
+  std::erase_if(ended_servers_, [now](const auto& item) {
+    return now - item.second > kRestartTime;
+  });
+  auto except = std::set<backend_name>{id};
+  for (const auto& [name, time] : ended_servers_) {
+    except.insert(name);
+  }
+  confirm_(except, [this, id, run](bool reaches_other) {
+    if (!reaches_other) {
+      metrics_.Count("ebony_unconfirmed_ends_total");
+      log_.Write(event_category::state, "end_unconfirmed",
+                 {{"backend", id.get()}});
+    }
+    OnChecked(id, run, reaches_other);
+  });
+}
 
 auto run_verifier::OnChecked(const backend_name& id,
                              server_run run,
@@ -26,6 +53,7 @@
       ended_.clear();
     }
     ended_.insert(run);
+    ended_servers_[id] = loop_.get_now();
     metrics_.Count("ebony_ended_servers_total");
     log_.Write(event_category::state, "server_ended", {{"backend", id.get()}});
   }
@@ -52,7 +80,11 @@
   }
   CheckConnection(loop_, address, kCheckTimeLimit,
                   [this, id, run](connection_state state) {
-                    OnChecked(id, run, state == connection_state::refused);
+                    if (state == connection_state::refused) {
+                      OnRefused(id, run);
+                    } else {
+                      OnChecked(id, run, false);
+                    }
                   });
 }
 
--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -5,6 +5,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "codec/handover_codec.h"
 #include "codec/site_codec.h"
 #include "core/error_kind.h"
 #include "drivers/compression.h"
@@ -275,6 +276,8 @@
       host_port("127.0.0.1:" + std::to_string(FindFreePort()));
   settings.readiness_address =
       host_port("127.0.0.1:" + std::to_string(FindFreePort()));
+  settings.peer_address =
+      host_port("127.0.0.1:" + std::to_string(FindFreePort()));
   settings.stop_grace = milliseconds(8000);
   settings.retry_ratio = 0.2;
   settings.retry_slack = 50;
@@ -318,8 +321,8 @@
 
 auto gateway_harness::AddWiresAndGateways(int gateways) -> void {
   for (const auto& server : servers) {
-    wires_.push_back(
-        std::make_unique<server_wire>(loop_, server->GetAddress()));
+    wires_.push_back(std::make_unique<server_wire>(loop_, FindFreePort(),
+                                                   server->GetAddress()));
   }
   for (auto i = 0; i < gateways; ++i) {
     other_gateways_.push_back(std::make_unique<gateway_daemon>(
@@ -383,6 +386,23 @@
   }
 }
 
+auto gateway_harness::AnswerPeers(const schema::sync_request& request,
+                                  schema::sync_answer& reply) -> void {
+  const auto now = loop_.get_now();
+  gateways_.Update({vm_name(request.vm()), host_port(request.caller_address()),
+                    data_centre_name(request.data_centre()),
+                    incarnation(request.incarnation()), request.ready(), now,
+                    host_port(request.peer_address()),
+                    request.reaches_no_server()});
+  const auto& list = peer_lists_.Get(gateways_, vm_name(request.vm()),
+                                     data_centre_name(request.data_centre()),
+                                     request.reaches_no_server(), now);
+  reply.set_peers_digest(list.digest);
+  if (list.digest != request.have_peers()) {
+    AddPeers(reply, list.peers);
+  }
+}
+
 auto gateway_harness::OnSync(const incoming_request& call,
                              const response_pointer& answer) -> void {
   auto request = schema::sync_request();
@@ -413,6 +433,7 @@
       row->set_number(static_cast<std::uint32_t>(reply.backends_size()));
     }
   }
+  AnswerPeers(request, reply);
   if (knows_origins_) {
     AnswerOrigins(request, reply);
   }
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "control/gateway_registry.h"
+#include "control/peer_choice.h"
 #include "core/backend_registry.h"
 #include "core/metrics.h"
 #include "core/stream_origin_table.h"
@@ -138,6 +140,8 @@
   // Links of the first gateway to the servers; empty while it has no such
   // proxies in between.
   std::vector<std::unique_ptr<server_wire>> wires_;
+  gateway_registry gateways_;  // that the coordinator has heard of
+  peer_lists peer_lists_;
   std::vector<std::unique_ptr<gateway_daemon>> other_gateways_;
 
   auto MakeSettings(const std::string& vm) -> site_settings;
@@ -149,6 +153,8 @@
       -> void;
   auto OnSync(const incoming_request& call, const response_pointer& answer)
       -> void;
+  auto AnswerPeers(const schema::sync_request& request,
+                   schema::sync_answer& reply) -> void;
   auto AnswerOrigins(const schema::sync_request& request,
                      schema::sync_answer& reply) -> void;
 
--- a/tests/gateway_rules_test.cc
+++ b/tests/gateway_rules_test.cc
@@ -426,6 +426,10 @@
   }
   BOOST_TEST(selector.TakeUnreachable().size() == 2U);
   BOOST_TEST(selector.TakeUnreachable().empty());
+  // A peer may still reach them; without one, there is no replica.
+  BOOST_TEST(
+      (selector.Choose(query, At(20)).verdict == server_verdict::no_path));
+  query.ignores_closed_paths = true;
   BOOST_TEST(
       (selector.Choose(query, At(20)).verdict == server_verdict::no_replica));
   // It is tried again after a while, and at once after a restart.
--- a/tests/server_wire.cc
+++ b/tests/server_wire.cc
@@ -12,28 +12,44 @@
 
 namespace {
 
+// A loopback address that no other test process uses: while a link is cut, its
+// port is free for others.
+auto GetOwnAddress() -> std::uint32_t {
+  constexpr auto kNetwork = std::uint32_t{127} << 24U;
+  constexpr auto kFirstHost = std::uint32_t{0x10000};
+  return kNetwork |
+         (kFirstHost + static_cast<std::uint32_t>(::getpid()) % 0xE00000U);
+}
+
 auto MakeLoopbackAddress(std::uint16_t port) -> sockaddr_in {
   auto address = sockaddr_in();
   address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_addr.s_addr = htonl(GetOwnAddress());
   address.sin_port = htons(port);
   return address;
 }
 
 }  // namespace
 
-server_wire::server_wire(event_loop& loop, host_port server)
-    : loop_(loop), server_(std::move(server)) {
+server_wire::server_wire(event_loop& loop, std::uint16_t port, host_port server)
+    : loop_(loop), server_(std::move(server)), port_(port) {
   Listen();
-  port_ = acceptor_->GetPort();
 }
 
 server_wire::~server_wire() {
-  Heal();
+  CloseStuckDescriptors();
+}
+
+auto server_wire::CloseStuckDescriptors() -> void {
+  for (const auto fd : std::exchange(stuck_descriptors_, {})) {
+    ::close(fd);
+  }
 }
 
 auto server_wire::GetAddress() const -> host_port {
-  return host_port("127.0.0.1:" + std::to_string(port_));
+  const auto address = in_addr{htonl(GetOwnAddress())};
+  return host_port(std::string(::inet_ntoa(address)) + ":" +
+                   std::to_string(port_));
 }
 
 auto server_wire::Listen() -> void {
@@ -122,9 +138,7 @@
   if (acceptor_ != nullptr) {
     return;
   }
-  for (const auto fd : std::exchange(stuck_descriptors_, {})) {
-    ::close(fd);
-  }
+  CloseStuckDescriptors();
   is_hanging_ = false;
   for (const auto& item : pipes_) {
     item->server->Send(std::exchange(item->held_from_caller, {}));
--- a/tests/server_wire.h
+++ b/tests/server_wire.h
@@ -28,7 +28,7 @@
 
   event_loop& loop_;
   host_port server_;
-  std::uint16_t port_ = 0;
+  std::uint16_t port_;
   bool is_hanging_ = false;
   std::unique_ptr<stream_acceptor> acceptor_;
   std::vector<std::shared_ptr<pipe>> pipes_;
@@ -40,9 +40,11 @@
                std::string& held,
                std::string_view bytes) -> void;
   auto LeaveUnanswered() -> void;
+  auto CloseStuckDescriptors() -> void;
 
  public:
-  server_wire(event_loop& loop, host_port server);
+  // Listens on `port` of the loopback address.
+  server_wire(event_loop& loop, std::uint16_t port, host_port server);
   ~server_wire();
   server_wire(const server_wire&) = delete;
   auto operator=(const server_wire&) -> server_wire& = delete;
