--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -429,6 +429,7 @@
          {"connection", std::string(GetConnectionText())},
          {"silent_ms", duration(now - context_.paths.get_last_bytes())},
          {"status", static_cast<std::int64_t>(server_answer_.status)},
+         {"retry_after_ms", server_answer_.retry_after.value_or(duration(0))},
          {"framing", GetFramingText()},
          {"events", static_cast<std::int64_t>(stream_.get_events())},
          {"partial_bytes",
