--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -195,7 +195,8 @@
       return script;
     }
   }
-  return {{MakeResponse(200, "whole")}, server_script::ending::keep};
+  return default_script_.value_or(server_script{
+      {MakeResponse(200, "whole")}, server_script::ending::keep});
 }
 
 auto scripted_server::IsCrashing(const received_request& request) const
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -53,6 +54,7 @@
   // Used by whichever server receives the next request.
   std::deque<server_script>& common_scripts_;
   std::deque<server_script> scripts_;
+  std::optional<server_script> default_script_;
   std::vector<std::shared_ptr<connection>> server_connections_;
 
   // A request with this prompt segment crashes the server; empty: none does.
@@ -83,6 +85,10 @@
   // Adds a script for this server; it is used before the common ones.
   auto AddScript(server_script script) -> void;
   auto GetAddress() const -> host_port;
+  // From now on, this script answers each request that has none of its own.
+  auto AnswerAlways(server_script script) -> void {
+    default_script_ = std::move(script);
+  }
   // Stops accepting connections.
   auto Stop() -> void { acceptor_->Stop(); }
   // From now on, a request whose prompt has this segment, in hexadecimal,
