A server that asks for a pause gets none of this gateway's requests until it ends

Cause: Retry-After of a server's own 503 was read by nobody, so a rejection said nothing about the next request; and since rejecting takes a millisecond, such a server stayed the least loaded and attracted more (64 requests a second, 6 before). Ruled out: that the answer could not be assigned to its server (all ended not_run). Class: what a server says of itself in an answer is kept for that request only. Change: server_pauses (pure) keeps, for each run of a server, until when this gateway sends nothing; then one request finds out before the rest. The selector leaves paused servers out; a caller that meets no others waits if the first pause ends within half of its objective, else is told at once when that is. Suspected servers are tried before. Not changed: the planner.

--- a/entry/server_selector.cc
+++ b/entry/server_selector.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 #include <utility>
 
 namespace ebony {
@@ -42,6 +43,8 @@
       return "trial";
     case server_verdict::no_path:
       return "no_path";
+    case server_verdict::paused:
+      return "paused";
     case server_verdict::no_server:
       break;
   }
@@ -51,11 +54,13 @@
 server_selector::server_selector(server_selector_options options,
                                  const backend_registry& registry,
                                  server_permits& permits,
+                                 const server_pauses& pauses,
                                  random_source random)
     : options_(options),
       random_(std::move(random)),
       registry_(registry),
-      permits_(permits) {}
+      permits_(permits),
+      pauses_(pauses) {}
 
 auto server_selector::HoldsModel(const backend_status& status,
                                  const server_query& query) const -> bool {
@@ -204,6 +209,7 @@
   auto has_server = false;
   auto has_version = false;
   auto has_unreachable = false;
+  auto pause_left = std::optional<duration>();
   const auto are_closed = are_paths_closed_ && !query.ignores_closed_paths;
   for (const auto& [id, record] : registry_.get_records()) {
     const auto& status = record.status;
@@ -229,10 +235,18 @@
       has_unreachable = has_unreachable || !record.is_suspected;
       continue;
     }
+    const auto left = pauses_.GetTimeLeft(id, status.start_time_ms, now);
+    if (left > duration(0)) {
+      pause_left = std::min(left, pause_left.value_or(left));
+      continue;
+    }
     (record.is_suspected ? suspected : candidates).push_back(&record);
   }
   if (candidates.empty() && has_unreachable && !query.ignores_closed_paths) {
-    return {server_verdict::no_path, nullptr, {}};
+    return {server_verdict::no_path, nullptr, {}, duration(0)};
+  }
+  if (candidates.empty() && suspected.empty() && pause_left) {
+    return {server_verdict::paused, nullptr, {}, *pause_left};
   }
   if (candidates.empty()) {
     // Suspected servers are used only as a last resort.
@@ -242,7 +256,7 @@
     const auto verdict = has_version  ? server_verdict::no_replica
                          : has_server ? server_verdict::no_version
                                       : server_verdict::no_server;
-    return {verdict, nullptr, {}};
+    return {verdict, nullptr, {}, duration(0)};
   }
   RemoveEjected(candidates, now);
   std::erase_if(candidates, [&](const backend_record* record) {
@@ -250,7 +264,8 @@
   });
   auto without_permit = RemoveWithoutPermit(candidates, now);
   if (candidates.empty()) {
-    return {server_verdict::busy, nullptr, std::move(without_permit)};
+    return {server_verdict::busy, nullptr, std::move(without_permit),
+            duration(0)};
   }
   const auto by_capacity =
       query.is_engine &&
@@ -258,7 +273,8 @@
   const auto* server =
       by_capacity ? ChooseByCapacity(candidates, query, now)
                   : ChooseLeastLoaded(candidates, query.is_engine, now);
-  return {server_verdict::chosen, server, std::move(without_permit)};
+  return {server_verdict::chosen, server, std::move(without_permit),
+          duration(0)};
 }
 
 auto server_selector::OnStarted(const backend_name& id, double tokens) -> void {
--- a/entry/server_selector.h
+++ b/entry/server_selector.h
@@ -9,6 +9,7 @@
 
 #include "core/backend_registry.h"
 #include "core/site_config.h"
+#include "entry/server_pauses.h"
 #include "entry/server_permits.h"
 
 namespace ebony {
@@ -73,6 +74,7 @@
   no_replica,   // no server holds the model or adapter
   no_server,    // the service has no server
   no_version,   // no server runs the required software version
+  paused,       // those that could execute it asked for a pause
   no_path,      // those that could execute it can't be connected to from here
   await_trial,  // not offered to any: a request like it is on trial
 };
@@ -85,6 +87,8 @@
   const backend_status* server = nullptr;  // set for `chosen`
   // Servers that could execute the request, but for a permit.
   std::vector<backend_name> without_permit;
+  // Set for `paused`: until the first of the servers may get a request.
+  duration pause_left{0};
 };
 
 // Chooses a server by load: the requests in flight from this gateway, counted
@@ -114,6 +118,7 @@
   random_source random_;
   const backend_registry& registry_;
   server_permits& permits_;
+  const server_pauses& pauses_;
   std::map<backend_name, server_state> states_;
   mono_time last_exchange_;
   // Smoothed: the interval of the exchanges, and the time for which a request
@@ -156,6 +161,7 @@
   server_selector(server_selector_options options,
                   const backend_registry& registry,
                   server_permits& permits,
+                  const server_pauses& pauses,
                   random_source random);
 
   // Chooses a server among those announced for the service.
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -79,6 +79,7 @@
       selector_(server_selector_options(),
                 registry_.get_registry(),
                 permits_,
+                pauses_,
                 [this](std::uint64_t bound) { return random_() % bound; }),
       retries_(MakeRetryOptions(settings_)),
       pending_(kMaxPending),
@@ -114,6 +115,7 @@
       waits_,
       demand_,
       permits_,
+      pauses_,
       origins_,
       guard_,
       verifier_,
@@ -162,9 +164,12 @@
     }
   }
   const auto now = loop_.get_now();
-  permits_.Prune([this](const backend_name& id) {
+  const auto is_known = [this](const backend_name& id) {
     return registry_.get_registry().Find(id) != nullptr;
-  });
+  };
+  permits_.Prune(is_known);
+  pauses_.Prune(is_known);
+  metrics_.Set("ebony_paused_servers", static_cast<double>(pauses_.get_size()));
   for (const auto& report : permits_.TakeReports(now)) {
     AddPermitRequest(request, report, registry_.get_index(), now);
   }
--- a/main/gateway_daemon.h
+++ b/main/gateway_daemon.h
@@ -21,6 +21,7 @@
 #include "entry/pending_queue.h"
 #include "entry/retry_allowance.h"
 #include "entry/route_table.h"
+#include "entry/server_pauses.h"
 #include "entry/server_permits.h"
 #include "entry/server_selector.h"
 #include "entry/stream_origins.h"
@@ -44,6 +45,7 @@
   http_pool pool_;
   registry_replica registry_;
   server_permits permits_;
+  server_pauses pauses_;
   stream_origins origins_;
   crash_guard guard_;
   crash_uplink crash_uplink_;
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -155,6 +155,7 @@
     return;
   }
   queue_reason_ = choice.verdict;
+  pause_left_ = choice.pause_left;
   if (!position_) {
     Enqueue(choice.verdict);
   }
@@ -183,6 +184,7 @@
   const auto permit =
       context_.permits.GetSource(server_, server_start_time_ms_, now);
   context_.permits.OnSent(server_, server_start_time_ms_, now);
+  context_.pauses.OnSent(server_, server_start_time_ms_, now);
   context_.selector.OnStarted(server_, prefill_tokens_);
   context_.waits.OnSent(GetQueueKey(), now);
 
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -23,6 +23,7 @@
 #include "entry/pending_queue.h"
 #include "entry/retry_allowance.h"
 #include "entry/route_table.h"
+#include "entry/server_pauses.h"
 #include "entry/server_permits.h"
 #include "entry/server_selector.h"
 #include "entry/stream_assembler.h"
@@ -57,6 +58,7 @@
   wait_estimator& waits;
   std::map<demand_key, demand_count>& demand;
   server_permits& permits;
+  server_pauses& pauses;
   stream_origins& origins;
   crash_guard& guard;
   run_verifier& verifier;
@@ -104,6 +106,7 @@
   timer_id queue_timer_;
   bool is_overdue_ = false;  // the first wait in the queue has timed out
   server_verdict queue_reason_ = server_verdict::busy;
+  duration pause_left_{0};  // of the servers that the request could go to
   // Servers that the queued request waits for a permit of.
   std::vector<backend_name> awaited_permits_;
 
@@ -221,6 +224,8 @@
   auto GetConnectionText() const -> std::string_view;
   auto OnHead(const http_head& head) -> bool;
   auto RecordBytes() -> void;
+  // Records whether the server asks for a pause.
+  auto RecordPause(const server_answer& answer) -> void;
   // Records what an answer says of the server's limit of requests.
   auto RecordLimit(const server_answer& answer) -> void;
   auto OnBody(std::string_view bytes) -> void;
--- a/main/proxy_session_answer.cc
+++ b/main/proxy_session_answer.cc
@@ -56,6 +56,7 @@
   if (IsDirect()) {
     evidence_.has_just_begun = decoded.status < kFirstNonSuccess;
     RecordLimit(decoded);
+    RecordPause(decoded);
   }
   is_streaming_ = rule_.is_stream && call_.head.method != "HEAD" &&
                   head.status == kOk && decoded.is_signed &&
@@ -70,6 +71,39 @@
   }
 }
 
+auto proxy_session::RecordPause(const server_answer& answer) -> void {
+  const auto now = context_.loop.get_now();
+  const auto is_other_server =
+      answer.backend != backend_name() && answer.backend != server_;
+  if (is_other_server) {
+    return;
+  }
+  if (answer.has_unreadable_retry_after) {
+    context_.counters.Count("ebony_unreadable_retry_after_total");
+    context_.log.Write(
+        event_category::request, "retry_after_unreadable",
+        {{"request", metadata_.id.get()}, {"backend", server_.get()}});
+    return;
+  }
+  if (!answer.retry_after) {
+    if (context_.pauses.OnAccepted(server_, server_start_time_ms_, now)) {
+      context_.log.Write(
+          event_category::state, "pause_over",
+          {{"request", metadata_.id.get()}, {"backend", server_.get()}});
+      context_.on_capacity_freed();
+    }
+    return;
+  }
+  if (context_.pauses.OnAsked(server_, server_start_time_ms_,
+                              *answer.retry_after, now)) {
+    context_.counters.Count("ebony_server_pauses_total");
+    context_.log.Write(event_category::state, "pause_asked",
+                       {{"request", metadata_.id.get()},
+                        {"backend", server_.get()},
+                        {"asked_ms", *answer.retry_after}});
+  }
+}
+
 // Only a success ends a limit: errors may come from a part of the server that
 // does not know of it.
 auto proxy_session::RecordLimit(const server_answer& answer) -> void {
--- a/main/proxy_session_queue.cc
+++ b/main/proxy_session_queue.cc
@@ -37,6 +37,7 @@
 auto GetVerdictError(server_verdict verdict) -> error_kind {
   switch (verdict) {
     case server_verdict::busy:
+    case server_verdict::paused:
       return error_kind::overloaded;
     case server_verdict::await_trial:
       return error_kind::trial_pending;
@@ -94,6 +95,11 @@
         kQueueTimeoutFraction *
         static_cast<double>(rule_.latency_objective.count())));
   }
+  if (reason == server_verdict::paused) {
+    // A caller that would be late is told at once when to come back.
+    const auto most = GetQueueTimeout(server_verdict::busy);
+    return pause_left_ <= most ? most : duration(0);
+  }
   if (reason == server_verdict::no_path) {
     return kPathQueueTimeout;
   }
@@ -159,14 +165,17 @@
   const auto may_wait = is_first_attempt || reason == server_verdict::busy ||
                         reason == server_verdict::await_trial ||
                         reason == server_verdict::no_path ||
+                        reason == server_verdict::paused ||
                         answer_->has_begun();
   const auto limit =
       may_wait ? std::min(GetQueueTimeout(reason), GetTimeLeft()) : duration(0);
   const auto is_absent = reason == server_verdict::no_replica ||
                          reason == server_verdict::no_server;
   if (limit <= duration(0)) {
-    Reject(GetVerdictError(reason),
-           is_absent ? GetModelLoadTime() : GetOverloadWait());
+    const auto wait = reason == server_verdict::paused ? pause_left_
+                      : is_absent                      ? GetModelLoadTime()
+                                                       : GetOverloadWait();
+    Reject(GetVerdictError(reason), wait);
     return;
   }
   if (reason == server_verdict::busy && !answer_->has_begun() &&
--- a/tests/gateway_rules_test.cc
+++ b/tests/gateway_rules_test.cc
@@ -72,6 +72,11 @@
   return status;
 }
 
+auto GetNoPauses() -> const server_pauses& {
+  static const auto pauses = server_pauses();
+  return pauses;
+}
+
 // Permits of a site whose servers name no limits.
 auto GetUnlimited() -> server_permits& {
   static auto permits = server_permits({}, [](std::uint64_t) { return 0; });
@@ -235,7 +240,7 @@
   auto registry = backend_registry(backend_registry_options());
   auto selector =
       server_selector(server_selector_options(), registry, GetUnlimited(),
-                      [](std::uint64_t) { return 0; });
+                      GetNoPauses(), [](std::uint64_t) { return 0; });
   auto query = server_query();
   query.service = service_name("s");
   query.is_engine = true;
@@ -282,7 +287,7 @@
     auto count = 0;
     for (auto gateway = 0; gateway < 80; ++gateway) {
       auto selector = server_selector(
-          server_selector_options(), registry, GetUnlimited(),
+          server_selector_options(), registry, GetUnlimited(), GetNoPauses(),
           [&generator](std::uint64_t bound) { return generator() % bound; });
       selector.SetGatewayCount(gateways);
       // The loaded server has 25 requests in flight and a limit of 50.
@@ -306,7 +311,7 @@
   }
   auto generator = std::mt19937_64(7);
   auto selector = server_selector(
-      server_selector_options(), registry, GetUnlimited(),
+      server_selector_options(), registry, GetUnlimited(), GetNoPauses(),
       [&generator](std::uint64_t bound) { return generator() % bound; });
   auto query = server_query();
   query.service = service_name("s");
@@ -339,7 +344,7 @@
     registry.Announce(server, At(0));
     auto selector =
         server_selector(server_selector_options(), registry, GetUnlimited(),
-                        [](std::uint64_t) { return 0; });
+                        GetNoPauses(), [](std::uint64_t) { return 0; });
     auto time = At(0);
     for (auto i = 0; i < 200; ++i) {
       time += interval;
@@ -371,7 +376,7 @@
   registry.Announce(MakeServer("b2", "m"), At(0));
   auto selector =
       server_selector(server_selector_options(), registry, GetUnlimited(),
-                      [](std::uint64_t) { return 0; });
+                      GetNoPauses(), [](std::uint64_t) { return 0; });
   selector.TakeLoadReport();
   selector.SetTotalLoads({{backend_name("b1"), {3, 0}}}, At(0));
   auto query = server_query();
@@ -386,7 +391,7 @@
   registry.Announce(MakeServer("b1", "m"), At(0));
   auto selector =
       server_selector(server_selector_options(), registry, GetUnlimited(),
-                      [](std::uint64_t) { return 0; });
+                      GetNoPauses(), [](std::uint64_t) { return 0; });
   const auto id = backend_name("b1");
   for (auto i = 0; i < 3; ++i) {
     selector.OnStarted(id, 0);
@@ -417,7 +422,7 @@
   }
   auto selector =
       server_selector(server_selector_options(), registry, GetUnlimited(),
-                      [](std::uint64_t) { return 0; });
+                      GetNoPauses(), [](std::uint64_t) { return 0; });
   auto query = server_query();
   query.service = service_name("s");
   for (auto i = 0; i < 2; ++i) {
@@ -450,7 +455,7 @@
   }
   auto selector =
       server_selector(server_selector_options(), registry, GetUnlimited(),
-                      [](std::uint64_t) { return 0; });
+                      GetNoPauses(), [](std::uint64_t) { return 0; });
   auto query = server_query();
   query.service = service_name("s");
   const auto eject = [&selector](const char* id) {
