Gateways decode that a server says it is about to stop, and count it

DRAIN: nothing in the logs says that a server told so in its answers. Now ebony_leaving_answers_total and leaving_unreadable do. Nothing decides by it yet.

--- a/core/request_metadata.h
+++ b/core/request_metadata.h
@@ -73,6 +73,8 @@
   // Time for which the server wants no request from this gateway; of 503 only.
   std::optional<duration> retry_after;
   bool has_unreadable_retry_after = false;
+  bool is_leaving = false;  // the server is about to stop
+  bool has_unreadable_leaving = false;
 };
 
 }  // namespace ebony
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -224,6 +224,8 @@
   auto GetConnectionText() const -> std::string_view;
   auto OnHead(const http_head& head) -> bool;
   auto RecordBytes() -> void;
+  // Records whether the server says that it is about to stop.
+  auto RecordLeaving(const server_answer& answer) -> void;
   // Records whether the server asks for a pause.
   auto RecordPause(const server_answer& answer) -> void;
   // Records what an answer says of the server's limit of requests.
--- a/main/proxy_session_answer.cc
+++ b/main/proxy_session_answer.cc
@@ -43,6 +43,7 @@
     }
   }
   const auto decoded = platform::DecodeServerAnswer(head);
+  RecordLeaving(decoded);
   if (decoded.echoed_id != caller_request_id() &&
       decoded.echoed_id != metadata_.id) {
     context_.counters.Count("ebony_foreign_answers_total");
@@ -71,6 +72,23 @@
   }
 }
 
+auto proxy_session::RecordLeaving(const server_answer& answer) -> void {
+  const auto is_other_server =
+      answer.backend != backend_name() && answer.backend != server_;
+  if (is_other_server) {
+    return;
+  }
+  if (answer.has_unreadable_leaving) {
+    context_.counters.Count("ebony_unreadable_leaving_total");
+    context_.log.Write(
+        event_category::request, "leaving_unreadable",
+        {{"request", metadata_.id.get()}, {"backend", server_.get()}});
+  }
+  if (answer.is_leaving) {
+    context_.counters.Count("ebony_leaving_answers_total");
+  }
+}
+
 auto proxy_session::RecordPause(const server_answer& answer) -> void {
   const auto now = context_.loop.get_now();
   const auto is_other_server =
