A server that says in an answer that it leaves gets nothing new from any gateway

DRAIN: a server that leaves says so in all its answers, whatever it announces. Cause: no part of the product read it; leaving was known from announcements only. Change: the gateway's copy of the registry takes it at once for that run of the server (name and start), also from an answer that a peer passed on, closes its idle connections there, and reports it until the answering leader or relay lists it; relays pass it on, the leader keeps it in the server's record, so planner, drain acknowledgements, selector and a new leader treat the server as one that announced it. A later announcement that says ready changes nothing; a restart under the same name does.

--- a/codec/site_codec.cc
+++ b/codec/site_codec.cc
@@ -209,6 +209,7 @@
   row.set_address(status.address.get());
   row.set_data_centre(status.data_centre.get());
   row.set_software(status.software.get());
+  row.set_said_leaving(record.has_said_leaving);
   row.set_slots(status.slots);
   row.set_leaving(status.is_leaving);
   row.set_sequence(status.sequence);
@@ -264,6 +265,7 @@
   for (const auto& name : row.on_disk()) {
     status.on_disk.emplace_back(name);
   }
+  record.has_said_leaving = row.said_leaving();
   record.has_left = row.gone();
   record.is_suspected = row.suspected();
   record.last_seen = now - std::chrono::milliseconds(row.silent_ms());
--- a/core/backend_registry.cc
+++ b/core/backend_registry.cc
@@ -45,10 +45,13 @@
   auto& record = records_[status.id];
   if (is_known && record.status.start_time_ms != status.start_time_ms) {
     record.limit = request_limit();
+    record.has_said_leaving = false;
   }
+  auto announced = status;
+  announced.is_leaving = status.is_leaving || record.has_said_leaving;
   const auto is_same = is_known && !record.has_left && !record.is_suspected &&
-                       HasSameContent(record.status, status);
-  record.status = status;
+                       HasSameContent(record.status, announced);
+  record.status = announced;
   record.has_left = false;
   record.is_suspected = false;
   record.last_seen = now;
@@ -125,18 +128,24 @@
       is_same_start && !found->second.has_left &&
       (found->second.status != record.status ||
        found->second.limit.rate != record.limit.rate ||
+       (record.has_said_leaving && !found->second.has_said_leaving) ||
        found->second.is_suspected != record.is_suspected);
   if (!is_newer && !is_update_of_same_start) {
     return MergeSuspicion(record);
   }
   auto& merged = records_[record.status.id];
   const auto known_limit = merged.limit;
+  const auto had_said_leaving = merged.has_said_leaving;
   const auto is_same_run =
       merged.status.start_time_ms == record.status.start_time_ms;
   merged = record;
   if (is_same_run && known_limit.observed > record.limit.observed) {
     merged.limit = known_limit;
   }
+  if (is_same_run && had_said_leaving) {
+    merged.has_said_leaving = true;
+    merged.status.is_leaving = true;
+  }
   merged.revision = ++revision_;
   return true;
 }
@@ -159,6 +168,21 @@
   return is_change;
 }
 
+auto backend_registry::ObserveLeaving(const backend_name& id,
+                                      std::uint64_t start_time_ms) -> bool {
+  const auto found = records_.find(id);
+  if (found == records_.end() || found->second.has_left ||
+      found->second.status.start_time_ms != start_time_ms ||
+      found->second.has_said_leaving) {
+    return false;
+  }
+  auto& record = found->second;
+  record.has_said_leaving = true;
+  record.status.is_leaving = true;
+  record.revision = ++revision_;
+  return true;
+}
+
 auto backend_registry::Update(
     const backend_name& id,
     const std::function<void(backend_status&)>& change) -> void {
--- a/core/backend_registry.h
+++ b/core/backend_registry.h
@@ -18,6 +18,9 @@
   bool is_suspected = false;  // no announcement for `suspect_after`
   mono_time last_seen;        // time of the last announcement or leave
   request_limit limit;        // as named in answers of its present start
+  // The present start said in an answer that it is about to stop. Holds
+  // whatever its announcements say.
+  bool has_said_leaving = false;
   // Registry revision of the last change to this record. Not comparable
   // between registries.
   std::uint64_t revision = 0;
@@ -69,6 +72,10 @@
   auto ObserveLimit(const backend_name& id,
                     std::uint64_t start_time_ms,
                     const request_limit& limit) -> bool;
+  // Records that a start of a server said in an answer that it is about to
+  // stop. Returns true if that was not known.
+  auto ObserveLeaving(const backend_name& id, std::uint64_t start_time_ms)
+      -> bool;
   // Applies a change that the system itself caused, before the server announces
   // it.
   auto Update(const backend_name& id,
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -133,6 +133,8 @@
   auto OnAnnounceBatch(const std::string& body, const response_pointer& answer)
       -> void;
   auto RecordLoads(const schema::sync_request& request) -> void;
+  // Records the servers that said in answers that they are about to stop.
+  auto RecordLeaving(const schema::sync_request& request) -> void;
   // Records the limits and the requests for permits that a daemon reports.
   auto RecordPermitRequests(const schema::sync_request& request) -> void;
   // Passes the limits in the registry on to the permit allocator.
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -137,12 +137,28 @@
       }
     }
   }
+  RecordLeaving(request);
   order_executor_.RecordFirstEvents(ToDomain(request.first_events()));
   for (const auto& row : request.demands()) {
     order_executor_.RecordDemand(row);
   }
 }
 
+auto coordinator_daemon::RecordLeaving(const schema::sync_request& request)
+    -> void {
+  if (request.roster_source() != registry_epoch_) {
+    return;  // its numbers identify servers of another registry
+  }
+  for (const auto& row : request.leaving()) {
+    const auto* id = backend_index_.FindName(row.number());
+    if (id != nullptr && registry_.ObserveLeaving(*id, row.born_ms())) {
+      metrics_.Count("ebony_leaving_servers_total");
+      log_.Write(event_category::state, "server_leaving",
+                 {{"backend", id->get()}, {"reporter", request.vm()}});
+    }
+  }
+}
+
 auto coordinator_daemon::RecordPermitRequests(
     const schema::sync_request& request) -> void {
   if (request.roster_source() != registry_epoch_) {
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -126,6 +126,9 @@
       [this] { link_.SyncSoon(); },
       [this] { link_.SyncSoon(); },
       [this] { ScheduleDispatch(); },
+      [this](const backend_name& id, std::uint64_t start_time_ms) {
+        OnServerLeaving(id, start_time_ms);
+      },
       [this] {
         return is_draining_ &&
                loop_.get_now() - drain_start_ > kStreamAcceptTime;
@@ -263,6 +266,20 @@
   }
 }
 
+auto gateway_daemon::OnServerLeaving(const backend_name& id,
+                                     std::uint64_t start_time_ms) -> void {
+  if (!registry_.ObserveLeaving(id, start_time_ms)) {
+    return;
+  }
+  log_.Write(event_category::state, "server_leaving",
+             {{"backend", id.get()},
+              {"start_ms", static_cast<std::int64_t>(start_time_ms)}});
+  if (const auto* record = registry_.get_registry().Find(id)) {
+    pool_.CloseIdle(record->status.address);
+  }
+  link_.SyncSoon();
+}
+
 auto gateway_daemon::OnSyncAnswer(const schema::sync_answer& answer) -> void {
   ApplyConfig(answer);
   ApplyOrigins(answer, ApplyRegistry(answer));
--- a/main/gateway_daemon.h
+++ b/main/gateway_daemon.h
@@ -93,6 +93,9 @@
   auto ApplyPeers(const schema::sync_answer& answer) -> void;
   auto ApplyCrashes(const schema::sync_answer& answer) -> void;
   auto OnBackendChanged(const backend_record& record, mono_time now) -> void;
+  // A server said in an answer that it is about to stop.
+  auto OnServerLeaving(const backend_name& id, std::uint64_t start_time_ms)
+      -> void;
   auto OnCall(incoming_request call, const response_pointer& answer) -> void;
   auto StartSession(incoming_request call,
                     request_metadata metadata,
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -75,6 +75,8 @@
   std::function<void()> on_suspicion;
   // Called when capacity of a server may have become free.
   std::function<void()> on_capacity_freed;
+  // Called when a start of a server says that it is about to stop.
+  std::function<void(const backend_name&, std::uint64_t)> on_server_leaving;
   // Returns true while new streams are rejected, late in a drain.
   std::function<bool()> rejects_streams;
   std::size_t active_sessions = 0;  // sessions without a final answer
--- a/main/proxy_session_answer.cc
+++ b/main/proxy_session_answer.cc
@@ -86,6 +86,7 @@
   }
   if (answer.is_leaving) {
     context_.counters.Count("ebony_leaving_answers_total");
+    context_.on_server_leaving(server_, server_start_time_ms_);
   }
 }
 
--- a/main/registry_replica.cc
+++ b/main/registry_replica.cc
@@ -10,6 +10,20 @@
     -> void {
   request.set_roster_source(source_);
   request.set_have_roster(revision_);
+  for (const auto& [id, record] : registry_.get_records()) {
+    const auto number = index_.GetNumber(id);
+    if (record.has_said_leaving && !record.has_left && number != 0 &&
+        !listed_leaving_.contains(id)) {
+      auto* row = request.add_leaving();
+      row->set_number(number);
+      row->set_born_ms(record.status.start_time_ms);
+    }
+  }
+}
+
+auto registry_replica::ObserveLeaving(const backend_name& id,
+                                      std::uint64_t start_time_ms) -> bool {
+  return registry_.ObserveLeaving(id, start_time_ms);
 }
 
 auto registry_replica::ApplyAnswer(const schema::sync_answer& answer,
@@ -19,6 +33,7 @@
   if (is_new_source) {
     source_ = answer.roster_source();
     index_.Clear();
+    listed_leaving_.clear();
     source_since_ = now;
     // Servers announce themselves to the new leader only from now on, so
     // existing records must not expire before it has heard from them.
@@ -28,6 +43,11 @@
   for (const auto& row : answer.backends()) {
     const auto record = ToDomain(row, now);
     index_.Insert(row.number(), record.status.id);
+    if (record.has_said_leaving) {
+      listed_leaving_.insert(record.status.id);
+    } else {
+      listed_leaving_.erase(record.status.id);
+    }
     if (registry_.Merge(record, now)) {
       on_change(*registry_.Find(record.status.id));
     }
--- a/main/registry_replica.h
+++ b/main/registry_replica.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 
 #include "core/backend_index.h"
@@ -28,6 +29,8 @@
   std::string source_;   // leader and term
   std::uint64_t revision_ = 0;
   mono_time source_since_;  // first answer of `source_`
+  // Servers that `source_` lists as having said that they are about to stop.
+  std::set<backend_name> listed_leaving_;
 
   // Suspects the records that `source_` has not listed, then removes them.
   auto ExpireUnlisted(mono_time now, const change_hook& on_change) -> void;
@@ -38,6 +41,11 @@
   // Sets the source and revision of this copy in `request`, so that the answer
   // holds only later changes.
   auto FillRequest(schema::sync_request& request) const -> void;
+  // Records that a start of a server said in an answer that it is about to
+  // stop. Returns true if that was not known. `source_` is told until it lists
+  // it.
+  auto ObserveLeaving(const backend_name& id, std::uint64_t start_time_ms)
+      -> bool;
   // Applies an answer and calls `on_change` for each changed record. Returns
   // true if the answer is the first from a different leader or term.
   auto ApplyAnswer(const schema::sync_answer& answer,
--- a/main/sync_relay.cc
+++ b/main/sync_relay.cc
@@ -80,6 +80,13 @@
       permits_.Request(vm_name(request.vm()), report, now);
     }
   }
+  if (request.roster_source() == GetSource()) {
+    for (const auto& row : request.leaving()) {
+      if (const auto* id = registry_.get_index().FindName(row.number())) {
+        registry_.ObserveLeaving(*id, row.born_ms());
+      }
+    }
+  }
   for (const auto number : request.unreachable()) {
     if (const auto* id = registry_.get_index().FindName(number)) {
       unreachable_.insert(*id);
