Entries keep to pauses and departures that servers state in responses

Change: the response's statements (retry-after, x-leaving: 1) go to the core thread with the limit; the router keeps server_pauses and, for each run, what was said of leaving, whatever is announced. Paused servers count as busy: requests wait or are refused by the expected wait. Tests: entry_limits, three cases; they were not seen failing before, since nothing they call existed.

--- a/core/request_limit.cc
+++ b/core/request_limit.cc
@@ -26,6 +26,20 @@
   return request_rate(static_cast<std::uint64_t>(value * kRateUnits));
 }
 
+auto ParseRetryAfter(std::string_view text) -> std::optional<duration> {
+  constexpr double kMaxSeconds = 600;
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  auto value = 0.0;
+  const auto* end = text.data() + text.size();
+  const auto result =
+      std::from_chars(text.data(), end, value, std::chars_format::fixed);
+  const auto is_number = result.ec == std::errc() && result.ptr == end;
+  if (!is_number || !(value >= 0 && value <= kMaxSeconds)) {
+    return std::nullopt;
+  }
+  return duration(static_cast<duration::rep>(value * kMicrosecondsPerSecond));
+}
+
 auto GetRateField(const std::optional<request_rate>& rate) -> std::int64_t {
   return rate ? static_cast<std::int64_t>(rate->get()) : -1;
 }
--- a/core/request_limit.h
+++ b/core/request_limit.h
@@ -28,6 +28,11 @@
 // Returns std::nullopt for anything else.
 auto ParseRequestRate(std::string_view text) -> std::optional<request_rate>;
 
+// Parses the time for which a server wants no more requests: a decimal number
+// of seconds, without sign or exponent, of at most ten minutes. Returns no
+// value for anything else, a date included: the clocks of VMs may differ.
+auto ParseRetryAfter(std::string_view text) -> std::optional<duration>;
+
 // Returns the value of a rate in log lines; -1 stands for no limit.
 auto GetRateField(const std::optional<request_rate>& rate) -> std::int64_t;
 
--- a/entry/router.cc
+++ b/entry/router.cc
@@ -54,7 +54,7 @@
                       const route_query& query,
                       mono_time now) -> bool {
   const auto& load = GetLoad(backend);
-  if (backend.leaving || load.leaving) {
+  if (backend.leaving || load.leaving || load.has_said_leaving) {
     return false;
   }
   if (query.software != nullptr && backend.software != *query.software) {
@@ -167,7 +167,11 @@
     const auto has_permit =
         permits_.GetSource(backend->name, backend->run.get(), now) !=
         permit_source::none;
-    if (has_permit && HasCapacity(*backend, query.priority, now)) {
+    const auto is_paused =
+        pauses_.GetTimeLeft(backend->name, backend->run.get(), now) >
+        duration(0);
+    if (has_permit && !is_paused &&
+        HasCapacity(*backend, query.priority, now)) {
       usable.push_back(backend);
     }
   }
@@ -186,6 +190,7 @@
                     mono_time now) -> void {
   ++GetLoad(backend).own_requests;
   permits_.OnSent(backend.name, backend.run.get(), now);
+  pauses_.OnSent(backend.name, backend.run.get(), now);
   if (prefix_hash != 0 &&
       (prefixes_.size() < kMaxPrefixHints || prefixes_.contains(prefix_hash))) {
     prefixes_[prefix_hash] = {backend.name, now};
@@ -232,6 +237,10 @@
   load.reported = now;
 }
 
+auto router::OnSaidLeaving(const backend_route& backend) -> bool {
+  return !std::exchange(GetLoad(backend).has_said_leaving, true);
+}
+
 auto router::SetLeaving(const backend_name& backend, bool leaving) -> void {
   loads_[backend].leaving = leaving;
 }
--- a/entry/router.h
+++ b/entry/router.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "entry/routing_table.h"
+#include "entry/server_pauses.h"
 #include "entry/server_permits.h"
 
 namespace ebony {
@@ -84,6 +85,7 @@
     mono_time ejected_until;
     duration next_ejection{0};
     bool leaving = false;
+    bool has_said_leaving = false;  // in a response, whatever it announces
   };
   struct prefix_hint {
     backend_name backend;
@@ -94,6 +96,7 @@
   random_source random_;
   // An entry has no coordinator that grants permits, so it uses its own share.
   server_permits permits_;
+  server_pauses pauses_;
   std::unordered_map<backend_name, backend_load> loads_;
   std::unordered_map<std::uint64_t, prefix_hint> prefixes_;
   std::uint64_t next_index_ = 0;
@@ -144,6 +147,11 @@
   // further requests.
   auto SetLeaving(const backend_name& backend, bool leaving) -> void;
 
+  // A run of a server said in a response that it is about to stop. Returns true
+  // if that was not known.
+  auto OnSaidLeaving(const backend_route& backend) -> bool;
+  // The pauses that servers asked this entry for.
+  auto get_pauses() -> server_pauses& { return pauses_; }
   // The limits that servers name for all entries together.
   auto get_permits() -> server_permits& { return permits_; }
   // Returns the mean service time of the candidates.
--- a/main/caller_session.cc
+++ b/main/caller_session.cc
@@ -13,6 +13,7 @@
 constexpr std::size_t kMaxRecordedBytes = 64U << 10;
 constexpr auto kProgressInterval = std::chrono::milliseconds(100);
 constexpr int kStatusOk = 200;
+constexpr int kStatusUnavailable = 503;
 constexpr int kFirstNonSuccess = 300;  // lowest status that is no success
 constexpr int kStatusTooMany = 429;
 constexpr int kStatusServerError = 500;
@@ -43,6 +44,12 @@
     limit.rate = ParseRequestRate(found->second);
     limit.is_unreadable = !limit.rate;
   }
+  const auto pause = headers.find("retry-after");
+  if (status == kStatusUnavailable && pause != headers.end()) {
+    limit.retry_after = ParseRetryAfter(pause->second);
+  }
+  const auto leaving = headers.find("x-leaving");
+  limit.is_leaving = leaving != headers.end() && leaving->second == "1";
   return limit;
 }
 
--- a/main/caller_session.h
+++ b/main/caller_session.h
@@ -22,11 +22,19 @@
   std::uint32_t queued = 0;   // requests
 };
 
-// What the header of a response says of the server's limit of requests.
+// What the header of a response says of the requests that the server accepts.
 struct limit_statement {
   std::optional<request_rate> rate;  // absent: none is named
   bool is_unreadable = false;        // one is named but malformed
   bool is_from_success = false;      // only a success ends a limit
+  // Time for which the server wants no request from this entry; of 503 only.
+  std::optional<duration> retry_after;
+  bool is_leaving = false;  // the server is about to stop
+
+  // Returns true if nothing is said.
+  auto IsEmpty() const -> bool {
+    return !rate && !is_unreadable && !retry_after && !is_leaving;
+  }
 };
 
 // One caller's request in an entry: its body, its connection, and the response
--- a/main/entry_daemon.cc
+++ b/main/entry_daemon.cc
@@ -418,11 +418,34 @@
   coordinator_.OnAttemptEnd(item.id, item.attempt, item.result, now);
 }
 
+auto entry_daemon::RecordPause(const backend_route& backend,
+                               const limit_statement& statement) -> void {
+  const auto now = GetNow();
+  auto& pauses = router_.get_pauses();
+  if (!statement.retry_after) {
+    pauses.OnAccepted(backend.name, backend.run.get(), now);
+  } else if (pauses.OnAsked(backend.name, backend.run.get(),
+                            *statement.retry_after, now)) {
+    metrics_.Count("ebony_server_pauses_total");
+    LogEvent(log_level::info, "pause_asked",
+             {{"backend", backend.name.get()},
+              {"asked_ms", std::to_string(*statement.retry_after /
+                                          std::chrono::milliseconds(1))}});
+  }
+  has_pauses_ = pauses.get_size() > 0;
+}
+
 auto entry_daemon::OnLimitStated(const limit_stated& item) -> void {
   const auto* backend = table_.FindBackend(item.backend);
   if (backend == nullptr) {
     return;
   }
+  RecordPause(*backend, item.statement);
+  if (item.statement.is_leaving && router_.OnSaidLeaving(*backend)) {
+    metrics_.Count("ebony_leaving_servers_total");
+    LogEvent(log_level::info, "server_leaving",
+             {{"backend", item.backend.get()}});
+  }
   if (item.statement.is_unreadable) {
     metrics_.Count("ebony_unreadable_limits_total");
     LogEvent(log_level::warn, "limit_unreadable",
@@ -536,7 +559,7 @@
   call.callbacks.on_head = [this, session, attempt, backend](
                                int status, const header_map& headers) {
     const auto limit = session->OnHead(attempt, status, headers);
-    if (limit.rate || limit.is_unreadable || has_limits_) {
+    if (!limit.IsEmpty() || has_limits_ || has_pauses_) {
       events_.Push(limit_stated{backend, limit});
     }
   };
--- a/main/entry_daemon.h
+++ b/main/entry_daemon.h
@@ -123,6 +123,8 @@
 
   // A server names a limit, so responses that name none matter too.
   std::atomic<bool> has_limits_{false};
+  // The same for pauses.
+  std::atomic<bool> has_pauses_{false};
   std::atomic<bool> draining_{false};
   std::atomic<bool> rejecting_{false};
   std::atomic<bool> drained_{false};
@@ -149,6 +151,9 @@
   auto OnAnnouncement(const received_announcement& item) -> void;
   auto OnQuery(const query& item) -> void;
   auto OnAttemptEnded(const attempt_ended& item) -> void;
+  // Records whether the server asks for a pause.
+  auto RecordPause(const backend_route& backend,
+                   const limit_statement& statement) -> void;
   auto OnLimitStated(const limit_stated& item) -> void;
   auto OnFrame(const inbound_frame& inbound) -> void;
   auto OnUpdate(const schema::entry_update& update, const vm_name& from)
--- a/tests/entry_limit_test.cc
+++ b/tests/entry_limit_test.cc
@@ -114,6 +114,50 @@
   BOOST_TEST(none.is_from_success);
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_keeps_to_the_pause_that_a_server_asks_for) {
+  auto item = router({}, MakeRandom());
+  const auto paused = MakeServer("paused");
+  const auto other = MakeServer("other");
+  const auto start = mono_time(std::chrono::hours(1));
+  item.get_pauses().OnAsked(paused.name, kRun, std::chrono::seconds(3), start);
+  BOOST_TEST(
+      CountSent(item, {&paused, &other}, paused, std::chrono::seconds(3)) == 0);
+  BOOST_TEST(CountSent(item, {&paused, &other}, other,
+                       std::chrono::seconds(3)) == 300);
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_server_that_says_it_leaves_gets_nothing_until_it_restarts) {
+  auto item = router({}, MakeRandom());
+  auto leaving = MakeServer("leaving");
+  const auto other = MakeServer("other");
+  BOOST_TEST(item.OnSaidLeaving(leaving));
+  BOOST_TEST(!item.OnSaidLeaving(leaving));
+  item.SetLeaving(leaving.name, false);  // it announces that it is ready
+  BOOST_TEST(CountSent(item, {&leaving, &other}, leaving,
+                       std::chrono::seconds(1)) == 0);
+  leaving.run = incarnation(kRun + 1);
+  BOOST_TEST(CountSent(item, {&leaving}, leaving, std::chrono::seconds(1)) ==
+             100);
+}
+
+BOOST_AUTO_TEST_CASE(a_response_states_a_pause_and_a_departure) {
+  auto counters = metrics();
+  auto session = caller_session(nullptr, {}, {}, counters, mono_time());
+  const auto attempt = attempt_number(1);
+  session.StartAttempt(attempt);
+  BOOST_TEST(
+      (session.OnHead(attempt, 503, {{"retry-after", "1.5"}}).retry_after ==
+       milliseconds(1500)));
+  BOOST_TEST(session.OnHead(attempt, 200, {{"retry-after", "1.5"}}).IsEmpty());
+  for (const auto* value : {"-1", "1e3", "601", "soon", ""}) {
+    BOOST_TEST(
+        session.OnHead(attempt, 503, {{"retry-after", value}}).IsEmpty());
+  }
+  BOOST_TEST(session.OnHead(attempt, 200, {{"x-leaving", "1"}}).is_leaving);
+  BOOST_TEST(!session.OnHead(attempt, 200, {{"x-leaving", "0"}}).is_leaving);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
