Gateways send the port for peers, not the address; cost of lists of peers

Cause: found by the new slope and by counting bytes: an address of 22 B in each sync and in each relayed row would cost a relay with 67 gateways some 20 kB a second. The IP is that of the address for callers, so 4 B say the same; the digest of a list has 32 bits.

--- a/codec/handover_codec.cc
+++ b/codec/handover_codec.cc
@@ -117,6 +117,23 @@
   return result;
 }
 
+auto GetPort(const host_port& address) -> std::uint32_t {
+  const auto& text = address.get();
+  auto port = 0U;
+  const auto* begin = text.data() + text.rfind(':') + 1;
+  std::from_chars(begin, text.data() + text.size(), port);
+  return port;
+}
+
+auto MakePeerAddress(const std::string& caller_address, std::uint32_t port)
+    -> host_port {
+  if (port == 0) {
+    return {};
+  }
+  const auto ip = caller_address.substr(0, caller_address.rfind(':'));
+  return host_port(ip + ":" + std::to_string(port));
+}
+
 auto AddPeers(schema::sync_answer& answer,
               const std::vector<peer_gateway>& peers) -> void {
   for (const auto& peer : peers) {
--- a/codec/handover_codec.h
+++ b/codec/handover_codec.h
@@ -1,6 +1,7 @@
 #ifndef EBONY_CODEC_HANDOVER_CODEC_H_
 #define EBONY_CODEC_HANDOVER_CODEC_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -23,6 +24,13 @@
 // Returns no value for text that is not the encoding of a result.
 auto DecodeResult(const std::string& text) -> std::optional<handover_result>;
 
+// Gateways send only the port of their address for peers: its IP is that of
+// their address for callers.
+auto GetPort(const host_port& address) -> std::uint32_t;
+// Returns an empty address for port 0.
+auto MakePeerAddress(const std::string& caller_address, std::uint32_t port)
+    -> host_port;
+
 auto AddPeers(schema::sync_answer& answer,
               const std::vector<peer_gateway>& peers) -> void;
 auto GetPeers(const schema::sync_answer& answer) -> std::vector<peer_gateway>;
--- a/control/peer_choice.cc
+++ b/control/peer_choice.cc
@@ -52,14 +52,14 @@
   return peers;
 }
 
-auto GetPeersDigest(const std::vector<peer_gateway>& peers) -> std::uint64_t {
+auto GetPeersDigest(const std::vector<peer_gateway>& peers) -> std::uint32_t {
   auto digest = std::uint64_t{0};
   for (const auto& peer : peers) {
     digest = HashBytes(
         peer.vm.get() + " " + peer.address.get() + " " + peer.data_centre.get(),
         digest + 1);
   }
-  return peers.empty() ? 0 : std::max<std::uint64_t>(1, digest);
+  return peers.empty() ? 0 : std::max(1U, static_cast<std::uint32_t>(digest));
 }
 
 auto peer_lists::Get(const gateway_registry& gateways,
--- a/control/peer_choice.h
+++ b/control/peer_choice.h
@@ -25,7 +25,7 @@
                  mono_time now) -> std::vector<peer_gateway>;
 
 // Returns a hash of the list; 0 only for an empty one.
-auto GetPeersDigest(const std::vector<peer_gateway>& peers) -> std::uint64_t;
+auto GetPeersDigest(const std::vector<peer_gateway>& peers) -> std::uint32_t;
 
 // The peers of the gateways that a coordinator answers. Lists are made anew
 // only now and then, because each takes a look at all gateways.
@@ -33,7 +33,7 @@
  public:
   struct list {
     std::vector<peer_gateway> peers;
-    std::uint64_t digest = 0;
+    std::uint32_t digest = 0;
     mono_time made_at;
   };
 
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -301,11 +301,12 @@
 auto coordinator_daemon::FillGatewayAnswer(const schema::sync_request& request,
                                            schema::sync_answer& reply) -> void {
   const auto now = loop_.get_now();
-  gateways_.Update({vm_name(request.vm()), host_port(request.caller_address()),
-                    data_centre_name(request.data_centre()),
-                    incarnation(request.incarnation()), request.ready(), now,
-                    host_port(request.peer_address()),
-                    request.reaches_no_server()});
+  gateways_.Update(
+      {vm_name(request.vm()), host_port(request.caller_address()),
+       data_centre_name(request.data_centre()),
+       incarnation(request.incarnation()), request.ready(), now,
+       MakePeerAddress(request.caller_address(), request.peer_port()),
+       request.reaches_no_server()});
   RecordLoads(request);
   RecordPermitRequests(request);
   FillLoads(*reply.mutable_loads());
@@ -364,7 +365,8 @@
     gateways_.Update({vm, host_port(row.caller_address()),
                       data_centre_name(row.data_centre()),
                       incarnation(row.incarnation()), row.ready(), heard,
-                      host_port(row.peer_address()), row.reaches_no_server()});
+                      MakePeerAddress(row.caller_address(), row.peer_port()),
+                      row.reaches_no_server()});
     drain_acks_.OnRevisionSent(vm, is_current_epoch ? row.told_roster() : 0,
                                heard);
   }
@@ -378,7 +380,7 @@
     row->set_caller_address(gateway.caller_address.get());
     row->set_data_centre(gateway.data_centre.get());
     row->set_ready(true);
-    row->set_peer_address(gateway.peer_address.get());
+    row->set_peer_port(GetPort(gateway.peer_address));
     row->set_reaches_no_server(gateway.reaches_no_server);
   }
 }
@@ -524,7 +526,8 @@
   for (const auto& row : reply.gateways()) {
     gateways_.Update({vm_name(row.vm()), host_port(row.caller_address()),
                       data_centre_name(row.data_centre()), incarnation(),
-                      row.ready(), now, host_port(row.peer_address()),
+                      row.ready(), now,
+                      MakePeerAddress(row.caller_address(), row.peer_port()),
                       row.reaches_no_server()});
   }
 }
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -151,7 +151,7 @@
   request.set_ready(is_ready());
   request.set_have_config(
       route_table_ == nullptr ? 0 : route_table_->get_config().number.get());
-  request.set_peer_address(settings_.peer_address.get());
+  request.set_peer_port(GetPort(settings_.peer_address));
   request.set_reaches_no_server(paths_.is_closed());
   request.set_have_peers(peers_digest_);
   registry_.FillRequest(request);
--- a/main/gateway_daemon.h
+++ b/main/gateway_daemon.h
@@ -52,7 +52,7 @@
   path_monitor paths_;
   run_verifier verifier_;
   peer_selector peers_;
-  std::uint64_t peers_digest_ = 0;  // of the peers that the coordinator listed
+  std::uint32_t peers_digest_ = 0;  // of the peers that the coordinator listed
   software_history software_;
   server_selector selector_;
   retry_allowance retries_;
--- a/main/sync_relay.cc
+++ b/main/sync_relay.cc
@@ -69,7 +69,7 @@
   row.set_data_centre(request.data_centre());
   row.set_incarnation(request.incarnation());
   row.set_ready(request.ready());
-  row.set_peer_address(request.peer_address());
+  row.set_peer_port(request.peer_port());
   row.set_reaches_no_server(request.reaches_no_server());
   RecordLoads(request, now);
   RecordDemands(request);
--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -195,8 +195,8 @@
       return script;
     }
   }
-  return default_script_.value_or(server_script{
-      {MakeResponse(200, "whole")}, server_script::ending::keep});
+  return default_script_.value_or(
+      server_script{{MakeResponse(200, "whole")}, server_script::ending::keep});
 }
 
 auto scripted_server::IsCrashing(const received_request& request) const
@@ -398,11 +398,12 @@
 auto gateway_harness::AnswerPeers(const schema::sync_request& request,
                                   schema::sync_answer& reply) -> void {
   const auto now = loop_.get_now();
-  gateways_.Update({vm_name(request.vm()), host_port(request.caller_address()),
-                    data_centre_name(request.data_centre()),
-                    incarnation(request.incarnation()), request.ready(), now,
-                    host_port(request.peer_address()),
-                    request.reaches_no_server()});
+  gateways_.Update(
+      {vm_name(request.vm()), host_port(request.caller_address()),
+       data_centre_name(request.data_centre()),
+       incarnation(request.incarnation()), request.ready(), now,
+       MakePeerAddress(request.caller_address(), request.peer_port()),
+       request.reaches_no_server()});
   const auto& list = peer_lists_.Get(gateways_, vm_name(request.vm()),
                                      data_centre_name(request.data_centre()),
                                      request.reaches_no_server(), now);
--- a/tests/server_paths_test.cc
+++ b/tests/server_paths_test.cc
@@ -238,6 +238,14 @@
   BOOST_TEST(!DecodeResult("ffff").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(the_address_for_peers_follows_from_its_port) {
+  BOOST_TEST(GetPort(host_port("10.1.0.38:7381")) == 7381U);
+  BOOST_TEST(GetPort(host_port()) == 0U);
+  BOOST_TEST(
+      (MakePeerAddress("10.1.0.38:8149", 7381) == host_port("10.1.0.38:7381")));
+  BOOST_TEST((MakePeerAddress("10.1.0.38:8149", 0) == host_port()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
--- a/tools/ebony_bench.cc
+++ b/tools/ebony_bench.cc
@@ -15,9 +15,11 @@
 
 #include "codec/control_codec.h"
 #include "codec/entry_codec.h"
+#include "codec/handover_codec.h"
 #include "codec/link_codec.h"
 #include "codec/record_codec.h"
 #include "codec/site_codec.h"
+#include "control/peer_choice.h"
 #include "control/permit_allocator.h"
 #include "control/placement.h"
 #include "core/stream_origin_table.h"
@@ -417,6 +419,39 @@
               trial.ByteSizeLong());
 }
 
+// The work for a list of the gateways to which one of them can hand requests
+// over.
+auto MeasurePeerSlopes() -> void {
+  constexpr auto kDataCentres = 12;
+  auto cost = std::vector<sample>();
+  auto bytes = std::size_t{0};
+  const auto now = mono_time(std::chrono::hours(1));
+  for (const auto count : {50, 100, 200, 403}) {
+    auto gateways = gateway_registry();
+    for (auto i = 0; i < count; ++i) {
+      auto info = gateway_info();
+      info.vm = vm_name("edge-region-" + std::to_string(i));
+      info.peer_address = host_port("10.128.0." + std::to_string(i) + ":7381");
+      info.data_centre =
+          data_centre_name("region-" + std::to_string(i % kDataCentres));
+      info.is_ready = true;
+      info.last_seen = now;
+      gateways.Update(info);
+    }
+    auto answer = schema::sync_answer();
+    const auto own = gateways.get_all().begin()->second;
+    cost.push_back({static_cast<double>(count), MeasureUs(200, [&] {
+                      answer.clear_peers();
+                      AddPeers(answer, ChoosePeers(gateways, own.vm,
+                                                   own.data_centre, now));
+                    })});
+    bytes = answer.ByteSizeLong();
+  }
+  std::printf("\nper gateway\n");
+  PrintFit("a list of peers, us", "us", cost, kEntryDaemons);
+  std::printf("list of peers %zu B\n", bytes);
+}
+
 auto MeasureMessages() -> void {
   auto poll = schema::link_frame();
   poll.set_from("e123");
@@ -482,6 +517,7 @@
   ebony::MeasurePermitSlopes();
   ebony::MeasureOriginSlopes();
   ebony::MeasureCrashSlopes();
+  ebony::MeasurePeerSlopes();
   ebony::MeasureMessages();
   return 0;
 }
