--- /dev/null
+++ b/main/gateway_daemon_peers.cc
@@ -0,0 +1,112 @@
+// How a gateway takes and hands over requests while it, or another one, reaches
+// no server.
+
+#include <utility>
+
+#include "codec/handover_codec.h"
+#include "main/gateway_daemon.h"
+#include "platform/request_codec.h"
+
+namespace ebony {
+
+namespace {
+
+// Requests of other gateways that are accepted at the same time.
+constexpr std::size_t kMaxHandedOver = 512;
+constexpr int kUnavailable = 503;
+
+}  // namespace
+
+auto gateway_daemon::MakePathHooks() -> path_monitor::hooks {
+  return {[this] { OnPathsClosed(); }, [this] { OnPathsOpened(); },
+          [this] { ScheduleDispatch(); },
+          [this] { return !peers_.get_peers().empty(); },
+          [this](std::uint64_t bound) { return random_() % bound; }};
+}
+
+auto gateway_daemon::ApplyPeers(const schema::sync_answer& answer) -> void {
+  if (answer.peers_digest() == peers_digest_) {
+    return;
+  }
+  peers_digest_ = answer.peers_digest();
+  peers_.SetPeers(GetPeers(answer));
+  log_.Write(event_category::state, "peers_known",
+             {{"count", static_cast<std::int64_t>(answer.peers_size())}});
+}
+
+auto gateway_daemon::DeclineHandover(const request_metadata& metadata,
+                                     error_kind kind,
+                                     const response_pointer& answer) -> void {
+  auto result = handover_result();
+  result.error = kind;
+  result.is_declined = true;
+  auto head = platform::MakeErrorHead(kUnavailable, metadata.id, duration(0));
+  head.fields.push_back({kHandoverResultField, EncodeResult(result)});
+  answer->Respond(std::move(head), {});
+  metrics_.Count("ebony_declined_handovers_total");
+  log_.Write(event_category::request, "handover_declined",
+             {{"request", metadata.id.get()},
+              {"kind", GetErrorAnswer(kind).code.data()},
+              {"active", static_cast<std::int64_t>(context_.handed_over)}});
+}
+
+auto gateway_daemon::OnPeerCall(incoming_request call,
+                                const response_pointer& answer) -> void {
+  auto metadata = platform::DecodeCallerRequest(call.head);
+  const auto* field = call.head.Find(kHandoverField);
+  const auto terms = field == nullptr ? std::nullopt : DecodeTerms(*field);
+  if (!terms) {
+    DeclineHandover(metadata, error_kind::invalid_request, answer);
+    return;
+  }
+  std::erase_if(call.head.fields, [](const http_field& item) {
+    return IsSameFieldName(item.name, kHandoverField);
+  });
+  const auto is_current = route_table_ != nullptr &&
+                          route_table_->get_config().number >= terms->config;
+  if (!is_current) {
+    DeclineHandover(metadata, error_kind::not_current, answer);
+    return;
+  }
+  if (paths_.is_closed()) {
+    DeclineHandover(metadata, error_kind::backend_unreachable, answer);
+    return;
+  }
+  if (context_.handed_over >= kMaxHandedOver) {
+    DeclineHandover(metadata, error_kind::overloaded, answer);
+    return;
+  }
+  const auto* rule = route_table_->Match(metadata.host, metadata.path);
+  const auto* service = rule == nullptr
+                            ? nullptr
+                            : route_table_->FindTarget(*rule, terms->service);
+  if (service == nullptr) {
+    DeclineHandover(metadata, error_kind::not_found, answer);
+    return;
+  }
+  auto origin = std::optional<stream_origin>();
+  if (terms->software) {
+    origin = stream_origin{service->name, *terms->software};
+  }
+  AddSession(*rule, *service, std::move(call), std::move(metadata),
+             std::move(origin), terms, answer);
+}
+
+auto gateway_daemon::OnPathsClosed() -> void {
+  selector_.SetPathsClosed(true);
+  link_.SyncSoon();
+  const auto sessions = sessions_;
+  for (const auto& item : sessions) {
+    if (const auto session = item.lock()) {
+      session->OnPathsClosed();
+    }
+  }
+}
+
+auto gateway_daemon::OnPathsOpened() -> void {
+  selector_.SetPathsClosed(false);
+  link_.SyncSoon();
+  ScheduleDispatch();
+}
+
+}  // namespace ebony
