Streams of unknown origin go on only if one version can have begun them

What began a stream is lost when all gateways are killed within a sync of its first event. A gateway then took the only software version in the registry for the only one that there had been; the registry forgets a version at once when its server starts again at another one, and altogether when the coordinators are killed too.

Ruled out: that a departed version is the hole by itself (its record stays for 30 s and refuses the take-up), and that the coordinators forget origins (they keep them for 60 s and are told them again after a change of leader).

Change: the control group replicates the versions at which streams may have begun; the leader adds and removes them, gateways are told the set. A set that lacks a version of the registry is not told at all.

Before: the new test stream_versions/a_version_that_no_server_runs_any_more_ still_counts fails in three of three checks (run with the former lookup put back): both take-ups answered 200 and joined.

--- a/codec/site_codec.cc
+++ b/codec/site_codec.cc
@@ -135,6 +135,40 @@
   }
 }
 
+auto ToSchema(const stream_origin& item) -> schema::software_row {
+  auto row = schema::software_row();
+  row.set_service(item.service.get());
+  row.set_software(item.software.get());
+  return row;
+}
+
+auto ToDomain(const schema::software_row& row) -> stream_origin {
+  return {service_name(row.service()), software_version(row.software())};
+}
+
+auto ToSoftwareVersions(const software_rows& rows) -> software_versions {
+  auto versions = software_versions();
+  for (const auto& row : rows) {
+    versions.Add(ToDomain(row));
+  }
+  return versions;
+}
+
+auto AddSoftwareVersions(schema::sync_answer& answer,
+                         const schema::sync_request& request,
+                         const software_versions* versions) -> void {
+  if (versions == nullptr) {
+    return;
+  }
+  answer.set_software_digest(versions->GetDigest());
+  if (request.have_software() == answer.software_digest()) {
+    return;
+  }
+  for (const auto& item : versions->get_items()) {
+    *answer.add_software() = ToSchema(item);
+  }
+}
+
 auto ToSchema(const crash_report& report) -> schema::crash_record_row {
   const auto& record = report.record;
   auto row = schema::crash_record_row();
--- a/codec/site_codec.h
+++ b/codec/site_codec.h
@@ -10,6 +10,7 @@
 #include "core/crash_ledger.h"
 #include "core/permit_report.h"
 #include "core/service_samples.h"
+#include "core/software_versions.h"
 #include "core/stream_origin.h"
 #include "schema/site.pb.h"
 
@@ -57,6 +58,17 @@
 auto ForEachBegunStream(const schema::begun_streams_row& row,
                         const origin_row_callback& callback) -> void;
 
+using software_rows = google::protobuf::RepeatedPtrField<schema::software_row>;
+
+auto ToSchema(const stream_origin& item) -> schema::software_row;
+auto ToDomain(const schema::software_row& row) -> stream_origin;
+auto ToSoftwareVersions(const software_rows& rows) -> software_versions;
+// Fills in the set unless the daemon that is answered has it. A null pointer
+// stands for a set that is not known.
+auto AddSoftwareVersions(schema::sync_answer& answer,
+                         const schema::sync_request& request,
+                         const software_versions* versions) -> void;
+
 auto ToSchema(const crash_report& report) -> schema::crash_record_row;
 auto ToDomain(const schema::crash_record_row& row) -> crash_report;
 
--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -17,6 +17,9 @@
 constexpr duration kTickInterval = std::chrono::milliseconds(50);
 // Below the 1 s timeout of clients of these interfaces.
 constexpr duration kConfirmTimeout = std::chrono::milliseconds(800);
+// Interval of looks at the software versions of all servers while nothing
+// changes.
+constexpr duration kCensusInterval = std::chrono::milliseconds(1000);
 constexpr std::size_t kMaxDirectoryAddresses = 64;
 constexpr std::chrono::seconds kDirectoryTtl{2};
 constexpr std::uint64_t kMaxControlBodyBytes = 64 * 1024 * 1024;
@@ -77,6 +80,9 @@
     message.set_config_number(config_.number.get());
     message.set_config(config_.body.bytes);
     message.set_config_bytes(config_.body.inflated_size);
+    for (const auto& item : software_.get_items()) {
+      *message.add_software() = ToSchema(item);
+    }
     return message.SerializeAsString();
   };
   state.restore = [this](const std::string& bytes) {
@@ -86,6 +92,7 @@
                         "the configuration snapshot cannot be decoded");
     }
     SetConfig(message);
+    software_ = ToSoftwareVersions(message.software());
   };
   return state;
 }
@@ -120,17 +127,43 @@
 auto coordinator_daemon::ApplyEntry(const log_entry& entry) -> void {
   if (entry.kind == entry_kind::command) {
     auto message = schema::site_snapshot();
-    if (message.ParseFromString(entry.payload) &&
-        message.config_number() > config_.number.get()) {
+    const auto is_readable = message.ParseFromString(entry.payload);
+    if (is_readable) {
+      ApplySoftware(message);
+    }
+    if (is_readable && message.config_number() > config_.number.get()) {
       SetConfig(message);
       log_.Write(event_category::state, "config_applied",
                  {{"number", static_cast<std::int64_t>(config_.number.get())},
                   {"index", static_cast<std::int64_t>(entry.index.get())}});
     }
   }
+  if (software_proposal_ && entry.index >= *software_proposal_) {
+    software_proposal_.reset();
+  }
   RespondToPuts(entry.index);
 }
 
+auto coordinator_daemon::ApplySoftware(const schema::site_snapshot& message)
+    -> void {
+  const auto log_change = [this](const stream_origin& item, const char* event) {
+    log_.Write(
+        event_category::state, event,
+        {{"service", item.service.get()}, {"software", item.software.get()}});
+  };
+  for (const auto& row : message.added_software()) {
+    if (software_.Add(ToDomain(row))) {
+      log_change(ToDomain(row), "software_known");
+    }
+  }
+  for (const auto& row : message.removed_software()) {
+    if (software_.Remove(ToDomain(row))) {
+      log_change(ToDomain(row), "software_forgotten");
+    }
+  }
+  census_revision_ = 0;  // the registry has to be looked at again
+}
+
 auto coordinator_daemon::RespondToPuts(log_index applied) -> void {
   while (!pending_puts_.empty() && pending_puts_.begin()->first <= applied) {
     const auto put = pending_puts_.begin()->second;
@@ -352,6 +385,7 @@
   const auto is_leader = raft_.is_leader();
   if (is_leader != was_leader_) {
     was_leader_ = is_leader;
+    software_proposal_.reset();
     if (is_leader) {
       registry_epoch_ =
           settings_.vm.get() + "/" + std::to_string(raft_.get_term().get()) +
@@ -367,6 +401,8 @@
       permit_allocator_.Restart(loop_.get_now());
       crash_desk_.StartLeading(loop_.get_now());
       limits_revision_ = 0;
+      census_.Restart();
+      census_revision_ = 0;
       drain_acks_.Clear();
       order_executor_.StartLeading(raft_.get_term().get());
     } else {
@@ -388,6 +424,7 @@
     log_.Write(event_category::state, "backend_suspected",
                {{"backend", id.get()}});
   }
+  TakeCensus();
   drain_acks_.Tick(loop_.get_now());
   load_totals_.Expire(loop_.get_now());
   for (const auto& [id, record] : registry_.get_records()) {
@@ -397,6 +434,38 @@
   ExecuteOrders();
 }
 
+auto coordinator_daemon::TakeCensus() -> void {
+  const auto now = loop_.get_now();
+  const auto is_due = census_revision_ != registry_.get_revision() ||
+                      now - census_taken_ >= kCensusInterval;
+  if (!is_due) {
+    return;
+  }
+  census_taken_ = now;
+  census_revision_ = registry_.get_revision();
+  has_all_software_ = HasAllVersions(software_, registry_);
+  const auto change = census_.Plan(registry_, software_, now);
+  if (change.is_empty() || software_proposal_) {
+    return;
+  }
+  auto message = schema::site_snapshot();
+  for (const auto& item : change.added) {
+    *message.add_added_software() = ToSchema(item);
+  }
+  for (const auto& item : change.removed) {
+    *message.add_removed_software() = ToSchema(item);
+  }
+  software_proposal_ = raft_.Propose(message.SerializeAsString());
+}
+
+auto coordinator_daemon::GetCurrentSoftware() -> const software_versions* {
+  if (census_revision_ != registry_.get_revision()) {
+    TakeCensus();
+  }
+  const auto is_current = has_all_software_ && raft_.IsConfirmedLeader();
+  return is_current ? &software_ : nullptr;
+}
+
 auto coordinator_daemon::ExecuteOrders() -> void {
   const auto* config = GetDecodedConfig();
   if (config != nullptr && raft_.is_leader()) {
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,7 @@
 #include "control/load_totals.h"
 #include "control/peer_choice.h"
 #include "control/permit_allocator.h"
+#include "control/software_census.h"
 #include "core/backend_index.h"
 #include "core/backend_registry.h"
 #include "core/metrics.h"
@@ -50,6 +52,7 @@
   metrics& metrics_;
   http_pool pool_;
   stored_config config_;
+  software_versions software_;  // replicated
   std::unique_ptr<site_config> decoded_config_;
   raft_node raft_;
   backend_registry registry_;
@@ -63,6 +66,14 @@
   stream_origins origins_;
   crash_desk crash_desk_;
   std::string reported_leader_;  // that was sent all origins
+  software_census census_;
+  mono_time census_taken_;
+  // Revision of the registry whose versions were looked at last, and whether
+  // `software_` has them all.
+  std::uint64_t census_revision_ = 0;
+  bool has_all_software_ = false;
+  // The latest change of `software_`, until it is applied.
+  std::optional<log_index> software_proposal_;
   // Revision of the registry whose limits the allocator has.
   std::uint64_t limits_revision_ = 0;
   drain_acks drain_acks_;
@@ -92,6 +103,7 @@
   auto MakeStateMachine() -> replicated_state_machine;
   auto ApplyEntry(const log_entry& entry) -> void;
   auto SetConfig(const schema::site_snapshot& message) -> void;
+  auto ApplySoftware(const schema::site_snapshot& message) -> void;
   auto GetDecodedConfig() -> const site_config*;
   auto RespondToPuts(log_index applied) -> void;
 
@@ -139,6 +151,11 @@
   auto RecordPermitRequests(const schema::sync_request& request) -> void;
   // Passes the limits in the registry on to the permit allocator.
   auto UpdateLimits() -> void;
+  // Proposes the changes of the replicated software versions that are due.
+  auto TakeCensus() -> void;
+  // Returns the software versions if all that the registry lists are replicated
+  // and this coordinator is sure to lead, nullptr otherwise.
+  auto GetCurrentSoftware() -> const software_versions*;
   auto FillPermits(const vm_name& vm, schema::sync_answer& reply) -> void;
   auto GetDeskRole() -> desk_role;
   auto HandleCrashes(const schema::sync_request& request,
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -311,6 +311,7 @@
   RecordPermitRequests(request);
   FillLoads(*reply.mutable_loads());
   FillRegistry(request, reply);
+  AddSoftwareVersions(reply, request, GetCurrentSoftware());
   FillPermits(vm_name(request.vm()), reply);
   FillConfig(request, reply);
   FillRelays(reply);
@@ -346,6 +347,7 @@
   RecordLoads(request);
   RecordPermitRequests(request);
   FillRegistry(request, reply);
+  AddSoftwareVersions(reply, request, GetCurrentSoftware());
   FillPermits(vm_name(request.vm()), reply);
   if (reply.gateway_count() > sync_relay::kMaxDirectGateways) {
     FillLoads(*reply.mutable_loads());
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -36,8 +36,8 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 // Longest time without an answer of a sure leader for which the software
-// versions in the registry still count as all that there are.
-constexpr duration kMaxRegistryAge = std::chrono::milliseconds(2500);
+// versions that it listed still count as all that there are.
+constexpr duration kMaxVersionsAge = std::chrono::milliseconds(2500);
 constexpr duration kNoConfigRetryAfter = std::chrono::milliseconds(500);
 
 auto MakeRetryOptions(const site_settings& settings)
@@ -146,6 +146,7 @@
   request.set_reaches_no_server(paths_.is_closed());
   request.set_have_peers(peers_digest_);
   registry_.FillRequest(request);
+  versions_.FillRequest(request);
   for (const auto& [id, load] : selector_.TakeLoadReport()) {
     AddLoad(*request.mutable_loads(), registry_.get_index().GetNumber(id),
             static_cast<std::uint32_t>(load.requests),
@@ -273,6 +274,7 @@
 
 auto gateway_daemon::OnSyncAnswer(const schema::sync_answer& answer) -> void {
   ApplyConfig(answer);
+  versions_.ApplyAnswer(answer);
   ApplyOrigins(answer, ApplyRegistry(answer));
   auto loads = std::map<backend_name, server_load>();
   ForEachLoad(answer.loads(), registry_.get_index(),
@@ -434,22 +436,14 @@
 auto gateway_daemon::FindOnlySoftware(const route_rule& rule) const
     -> std::optional<stream_origin> {
   const auto is_current =
-      permits_.GetContactAge(loop_.get_now()) <= kMaxRegistryAge;
-  if (rule.targets.size() != 1 || !is_current) {
+      permits_.GetContactAge(loop_.get_now()) <= kMaxVersionsAge;
+  const auto* versions = versions_.Get();
+  if (rule.targets.size() != 1 || !is_current || versions == nullptr) {
     return std::nullopt;
   }
   const auto& service = rule.targets.front().service;
-  auto only = std::optional<stream_origin>();
-  for (const auto& [id, record] : registry_.get_registry().get_records()) {
-    if (record.status.service != service) {
-      continue;
-    }
-    if (only && only->software != record.status.software) {
-      return std::nullopt;
-    }
-    only = stream_origin{service, record.status.software};
-  }
-  return only;
+  const auto only = versions->GetOnly(service);
+  return only ? std::optional(stream_origin{service, *only}) : std::nullopt;
 }
 
 auto gateway_daemon::TakeUpStream(const route_rule& rule,
--- a/main/gateway_daemon.h
+++ b/main/gateway_daemon.h
@@ -31,6 +31,7 @@
 #include "main/proxy_session.h"
 #include "main/registry_replica.h"
 #include "main/run_verifier.h"
+#include "main/software_replica.h"
 
 namespace ebony {
 
@@ -54,6 +55,7 @@
   peer_selector peers_;
   std::uint32_t peers_digest_ = 0;  // of the peers that the coordinator listed
   software_history software_;
+  software_replica versions_;
   server_selector selector_;
   retry_allowance retries_;
   pending_queue<proxy_session> pending_;
--- a/main/sync_relay.cc
+++ b/main/sync_relay.cc
@@ -121,6 +121,7 @@
     AddLoad(*answer.mutable_loads(), index.GetNumber(id),
             static_cast<std::uint32_t>(amount.requests), amount.tokens);
   }
+  AddSoftwareVersions(answer, request, software_.Get());
   answer.set_grants_permits(has_permits_);
   AddPermits(answer, permits_.Take(vm_name(request.vm()), now), index);
   gateways_[vm_name(request.vm())].row.set_told_roster(
@@ -134,6 +135,7 @@
   });
   own_loads_.Expire(now);
   registry_.FillRequest(request);
+  software_.FillRequest(request);
   for (const auto& [vm, gateway] : gateways_) {
     auto* row = request.add_relayed();
     *row = gateway.row;
@@ -173,6 +175,7 @@
       gateway.row.set_told_roster(0);
     }
   }
+  software_.ApplyAnswer(answer);
   other_loads_.clear();
   ForEachLoad(answer.loads(), registry_.get_index(),
               [this](const backend_name& id, std::uint32_t requests,
--- a/main/sync_relay.h
+++ b/main/sync_relay.h
@@ -12,6 +12,7 @@
 #include "core/ids.h"
 #include "core/service_samples.h"
 #include "main/registry_replica.h"
+#include "main/software_replica.h"
 #include "schema/site.pb.h"
 
 namespace ebony {
@@ -29,6 +30,7 @@
 
   std::string vm_;
   registry_replica registry_;
+  software_replica software_;
   std::map<vm_name, served_gateway> gateways_;
   std::map<demand_id, schema::demand_row> demands_;
   load_totals own_loads_;  // of the gateways served here
--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -447,6 +447,11 @@
   if (knows_origins_) {
     AnswerOrigins(request, reply);
   }
+  for (const auto& item :
+       census_.Plan(registry_, software_, loop_.get_now()).added) {
+    software_.Add(item);
+  }
+  AddSoftwareVersions(reply, request, &software_);
   reply.set_grants_permits(is_sure_leader_);
   reply.set_gateway_count(1);
   reply.set_served_gateways(1);
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -11,6 +11,7 @@
 
 #include "control/gateway_registry.h"
 #include "control/peer_choice.h"
+#include "control/software_census.h"
 #include "core/backend_registry.h"
 #include "core/metrics.h"
 #include "core/stream_origin_table.h"
@@ -140,6 +141,8 @@
   bool is_coordinator_silent_ = false;
   stream_origin_table origins_;  // as reported by gateways
   bool knows_origins_ = true;
+  software_versions software_;  // of all servers so far
+  software_census census_;
   bool is_sure_leader_ = false;
   // Gateways before `Restart`, kept because their timers still refer to them.
   std::vector<std::unique_ptr<gateway_daemon>> stopped_gateways_;
--- a/tests/stream_version_test.cc
+++ b/tests/stream_version_test.cc
@@ -196,6 +196,25 @@
   BOOST_TEST(CountReceived(site) == 2U);
 }
 
+// All gateways were killed before they could report what began the stream, and
+// the only server of its version has started again at another one.
+BOOST_AUTO_TEST_CASE(a_version_that_no_server_runs_any_more_still_counts) {
+  auto site = gateway_harness(1);
+  site.SetKnowsOrigins(false);
+  site.SetSureLeader(true);
+  site.RestartServer(0);
+  site.SetSoftware(0, "v2");
+  site.Restart();
+  site.RunFor(std::chrono::milliseconds(200));
+  site.AddCommonScript(MakeStream(3, 2, true));
+  BOOST_TEST(IsTrueRefusal(*TakeUp(site, "first", "second")));
+  const auto unnamed =
+      site.Send(MakeRequest("resume", "third", "Last-Event-Id: 2\r\n"));
+  RunUntilEnded(site, unnamed);
+  BOOST_TEST(IsTrueRefusal(*unnamed));
+  BOOST_TEST(CountReceived(site) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_gateway_that_is_cut_off_trusts_no_single_version) {
   auto site = gateway_harness(2);
   site.SetKnowsOrigins(false);
