Callers are told all gateways of a large site, not the first 64 by name

Cause: an answer of the directory holds at most 64 addresses, and every coordinator filled it with the first 64 ready gateways in the order of their names. With 291 gateways 227 got no caller at all; the other 64, most of them in two of five data centres, carried the whole load (and, after a loss of power of everything, all reconnections).

Ruled out: a rank by load or readiness that would choose these 64 (there is none; the list is the map's order).

Change: caller_directory gives each answer a random sample, up to half of it from the caller's data centre, so that callers that crowd in one still reach the others. Weighed: own data centre first (a shift of all callers to one zone then loads a fifth of the gateways), and a sample without regard to place (more bytes between data centres for no better spread).

Before: 64 of 291 gateways named, by reading the code. After: caller_directory_rules, 20,000 callers: all 291 used, the busiest under 1.6 times the mean, also if all callers are in one data centre (of its half).

--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -20,7 +20,6 @@
 // Interval of looks at the software versions of all servers while nothing
 // changes.
 constexpr duration kCensusInterval = std::chrono::milliseconds(1000);
-constexpr std::size_t kMaxDirectoryAddresses = 64;
 constexpr std::chrono::seconds kDirectoryTtl{2};
 constexpr std::uint64_t kMaxControlBodyBytes = 64 * 1024 * 1024;
 
@@ -58,6 +57,9 @@
       pool_(loop),
       raft_(settings_, loop, pool_, log, counters, MakeStateMachine()),
       registry_(backend_registry_options()),
+      directory_(
+          [random = std::make_shared<std::mt19937_64>(MakeRandomNumber())](
+              std::uint64_t bound) { return (*random)() % bound; }),
       crash_desk_(MakeRandomNumber()),
       order_executor_(
           settings_,
@@ -359,20 +361,17 @@
                                          const response_pointer& answer)
     -> void {
   const auto decoded = platform::DecodeControlCall(call.head, {});
-  if (std::holds_alternative<platform::resolve_call>(decoded)) {
-    OnResolve(answer);
+  if (const auto* resolve = std::get_if<platform::resolve_call>(&decoded)) {
+    OnResolve(*resolve, answer);
   } else {
     Respond(answer, kNotFound, {});
   }
 }
 
-auto coordinator_daemon::OnResolve(const response_pointer& answer) -> void {
-  auto addresses = std::vector<host_port>();
-  for (const auto& gateway : gateways_.ListForCallers(loop_.get_now())) {
-    if (addresses.size() < kMaxDirectoryAddresses) {
-      addresses.push_back(gateway.caller_address);
-    }
-  }
+auto coordinator_daemon::OnResolve(const platform::resolve_call& call,
+                                   const response_pointer& answer) -> void {
+  directory_.Update(gateways_, loop_.get_now());
+  const auto addresses = directory_.Choose(call.data_centre);
   metrics_.Count("ebony_directory_calls_total");
   if (addresses.empty()) {
     Respond(answer, kUnavailable, {});
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "control/caller_directory.h"
 #include "control/drain_acks.h"
 #include "control/gateway_registry.h"
 #include "control/load_totals.h"
@@ -58,6 +59,7 @@
   backend_registry registry_;
   backend_index backend_index_;
   gateway_registry gateways_;
+  caller_directory directory_;
   peer_lists peer_lists_;
   load_totals load_totals_;
   permit_allocator permit_allocator_;
@@ -123,7 +125,8 @@
                    const response_pointer& answer) -> void;
   auto OnReadConfig(const std::string& target, const response_pointer& answer)
       -> void;
-  auto OnResolve(const response_pointer& answer) -> void;
+  auto OnResolve(const platform::resolve_call& call,
+                 const response_pointer& answer) -> void;
   // Responds to an announcement or departure once the leader has it.
   auto ForwardToLeader(const schema::backend_status_row& row,
                        const response_pointer& answer) -> void;
