An unchanged sync costs nothing for each server or gateway that is there

Each sync of a gateway copied the loads of all servers as a tree of names, looked up the number of each by name, walked all records for the changed ones and all gateways to count the ready ones.

Change: loads are rows by number, totals a table by number; the registry keeps its records by revision, so that ListSince costs what it returns; counts of gateways are kept for 50 ms or until one becomes ready; the drain acknowledgements look for expired gateways once a second while nothing waits; the leader asks for a server's load when it plans, instead of copying all of them each tick. A relay drops its own loads when the leader changes, since they go by the former leader's numbers; gateways report them again with their second sync.

The test of the totals goes by numbers now; its checks are the same.

--- a/codec/site_codec.cc
+++ b/codec/site_codec.cc
@@ -318,6 +318,31 @@
   rows.add_tokens(tokens);
 }
 
+auto AddLoads(schema::backend_loads& rows, const load_report& report) -> void {
+  const auto size = static_cast<int>(report.size());
+  rows.mutable_numbers()->Reserve(size);
+  rows.mutable_requests()->Reserve(size);
+  rows.mutable_tokens()->Reserve(size);
+  for (const auto& [number, amount] : report) {
+    AddLoad(rows, number, static_cast<std::uint32_t>(amount.requests),
+            amount.tokens);
+  }
+}
+
+auto GetLoadReport(const schema::backend_loads& rows,
+                   const backend_index& numbers) -> load_report {
+  const auto count =
+      std::min({rows.numbers_size(), rows.requests_size(), rows.tokens_size()});
+  auto report = load_report();
+  report.reserve(static_cast<std::size_t>(count));
+  for (auto i = 0; i < count; ++i) {
+    if (numbers.FindName(rows.numbers(i)) != nullptr) {
+      report.push_back({rows.numbers(i), {rows.requests(i), rows.tokens(i)}});
+    }
+  }
+  return report;
+}
+
 auto ForEachLoad(const schema::backend_loads& rows,
                  const backend_index& numbers,
                  const load_row_callback& callback) -> void {
--- a/codec/site_codec.h
+++ b/codec/site_codec.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <vector>
 
+#include "control/load_totals.h"
 #include "core/backend_index.h"
 #include "core/backend_registry.h"
 #include "core/crash_ledger.h"
@@ -87,6 +88,10 @@
              std::uint32_t number,
              std::uint32_t requests,
              std::uint64_t tokens) -> void;
+auto AddLoads(schema::backend_loads& rows, const load_report& report) -> void;
+// Returns the rows whose numbers belong to known servers.
+auto GetLoadReport(const schema::backend_loads& rows,
+                   const backend_index& numbers) -> load_report;
 // Calls `callback` for each row whose number belongs to a known server.
 auto ForEachLoad(const schema::backend_loads& rows,
                  const backend_index& numbers,
--- a/control/drain_acks.cc
+++ b/control/drain_acks.cc
@@ -15,6 +15,8 @@
 
 // Gateways that have not synced for this long are dropped.
 constexpr duration kGatewayExpiry = std::chrono::seconds(10);
+// Interval at which expired gateways are looked for while nothing waits.
+constexpr duration kDropInterval = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -51,6 +53,10 @@
 }
 
 auto drain_acks::Tick(mono_time now) -> void {
+  if (pending_.empty() && now - dropped_ < kDropInterval) {
+    return;
+  }
+  dropped_ = now;
   std::erase_if(gateways_, [now](const auto& item) {
     return now - item.second.last_seen > kGatewayExpiry;
   });
--- a/control/drain_acks.h
+++ b/control/drain_acks.h
@@ -27,6 +27,7 @@
 
   std::map<vm_name, gateway> gateways_;
   std::vector<pending_ack> pending_;
+  mono_time dropped_;  // when expired gateways were last looked for
 
   auto IsPropagated(std::uint64_t revision, mono_time now) const -> bool;
   auto GetGatewayTimeout() const -> duration;
--- a/control/gateway_registry.cc
+++ b/control/gateway_registry.cc
@@ -7,6 +7,9 @@
   if (info.last_seen < known.last_seen) {
     return false;  // reported by a relay that no longer serves this gateway
   }
+  const auto was_listed =
+      known.is_ready && info.last_seen - known.last_seen <= kTimeout;
+  counts_.is_valid = counts_.is_valid && was_listed == info.is_ready;
   const auto changed = known.caller_address != info.caller_address ||
                        known.is_ready != info.is_ready;
   known = info;
@@ -36,25 +39,32 @@
   return usable.empty() ? ready : usable;
 }
 
-auto gateway_registry::CountReady(mono_time now) const -> std::size_t {
-  auto count = std::size_t{0};
-  for (const auto& [vm, info] : gateways_) {
-    count += info.is_ready && now - info.last_seen <= kTimeout ? 1 : 0;
+auto gateway_registry::Count(mono_time now) -> const counts& {
+  if (counts_.is_valid && now - counts_.counted_at < kMaxCountAge) {
+    return counts_;
   }
-  return count;
-}
-
-auto gateway_registry::GetReachableShare(mono_time now) const -> double {
-  auto reachable = 0;
-  auto known = 0;
+  counts_ = counts();
+  counts_.is_valid = true;
+  counts_.counted_at = now;
+  auto known = std::size_t{0};
   for (const auto& [vm, info] : gateways_) {
     const auto age = now - info.last_seen;
-    if (info.is_ready && age <= kGoneTimeout) {
-      ++known;
-      reachable += age <= kTimeout ? 1 : 0;
-    }
+    counts_.ready += info.is_ready && age <= kTimeout ? 1 : 0;
+    known += info.is_ready && age <= kGoneTimeout ? 1 : 0;
   }
-  return known == 0 ? 1.0 : static_cast<double>(reachable) / known;
+  if (known > 0) {
+    counts_.reachable_share =
+        static_cast<double>(counts_.ready) / static_cast<double>(known);
+  }
+  return counts_;
+}
+
+auto gateway_registry::CountReady(mono_time now) -> std::size_t {
+  return Count(now).ready;
+}
+
+auto gateway_registry::GetReachableShare(mono_time now) -> double {
+  return Count(now).reachable_share;
 }
 
 auto gateway_registry::CountLive(mono_time now) const -> std::size_t {
--- a/control/load_totals.cc
+++ b/control/load_totals.cc
@@ -5,13 +5,9 @@
 namespace ebony {
 
 auto load_totals::Subtract(const load_report& report) -> void {
-  for (const auto& [id, amount] : report) {
-    auto& total = totals_[id];
-    total.requests -= amount.requests;
-    total.tokens -= amount.tokens;
-    if (total.requests == 0 && total.tokens == 0) {
-      totals_.erase(id);
-    }
+  for (const auto& [number, amount] : report) {
+    totals_[number].requests -= amount.requests;
+    totals_[number].tokens -= amount.tokens;
   }
 }
 
@@ -19,10 +15,12 @@
     -> void {
   auto& known = gateways_[vm];
   Subtract(known.report);
-  for (const auto& [id, amount] : report) {
-    auto& total = totals_[id];
-    total.requests += amount.requests;
-    total.tokens += amount.tokens;
+  for (const auto& [number, amount] : report) {
+    if (number >= totals_.size()) {
+      totals_.resize(std::size_t{number} + 1);
+    }
+    totals_[number].requests += amount.requests;
+    totals_[number].tokens += amount.tokens;
   }
   known = {std::move(report), now};
 }
@@ -43,9 +41,18 @@
   totals_.clear();
 }
 
-auto load_totals::Get(const backend_name& id) const -> load_amount {
-  const auto found = totals_.find(id);
-  return found == totals_.end() ? load_amount() : found->second;
+auto load_totals::Get(std::uint32_t number) const -> load_amount {
+  return number < totals_.size() ? totals_[number] : load_amount();
+}
+
+auto load_totals::GetReport() const -> load_report {
+  auto report = load_report();
+  for (auto number = std::uint32_t{0}; number < totals_.size(); ++number) {
+    if (!totals_[number].is_zero()) {
+      report.push_back({number, totals_[number]});
+    }
+  }
+  return report;
 }
 
 }  // namespace ebony
--- a/core/backend_index.cc
+++ b/core/backend_index.cc
@@ -13,9 +13,12 @@
 
 auto backend_index::Insert(std::uint32_t number, const backend_name& id)
     -> void {
-  if (number == 0) {
+  if (number == 0 || number > kMaxNumber) {
     return;
   }
+  if (number >= names_.size()) {
+    names_.resize(std::size_t{number} + 1);
+  }
   numbers_[id] = number;
   names_[number] = id;
 }
@@ -27,8 +30,9 @@
 
 auto backend_index::FindName(std::uint32_t number) const
     -> const backend_name* {
-  const auto found = names_.find(number);
-  return found == names_.end() ? nullptr : &found->second;
+  const auto is_used =
+      number < names_.size() && names_[number] != backend_name();
+  return is_used ? &names_[number] : nullptr;
 }
 
 auto backend_index::Clear() -> void {
--- a/core/backend_index.h
+++ b/core/backend_index.h
@@ -2,7 +2,8 @@
 #define EBONY_CORE_BACKEND_INDEX_H_
 
 #include <cstdint>
-#include <map>
+#include <unordered_map>
+#include <vector>
 
 #include "core/ids.h"
 
@@ -13,11 +14,14 @@
 // than a name. The leader assigns the numbers; gateways receive them with the
 // registry records. They are valid for one leader only.
 class backend_index {
-  std::map<backend_name, std::uint32_t> numbers_;
-  std::map<std::uint32_t, backend_name> names_;
+  std::unordered_map<backend_name, std::uint32_t> numbers_;
+  std::vector<backend_name> names_;  // by number; empty for an unused one
   std::uint32_t last_number_ = 0;
 
  public:
+  // Higher numbers are ignored: names are stored in a table by number.
+  static constexpr std::uint32_t kMaxNumber = 1U << 18U;
+
   // Returns the number of a server and assigns one if it has none; never 0.
   auto Assign(const backend_name& id) -> std::uint32_t;
   // Adds a number that the leader assigned. A number of 0 is ignored.
--- a/core/backend_registry.cc
+++ b/core/backend_registry.cc
@@ -17,6 +17,20 @@
 backend_registry::backend_registry(backend_registry_options options)
     : options_(options) {}
 
+auto backend_registry::Touch(backend_record& record) -> void {
+  by_revision_.erase(record.revision);
+  record.revision = ++revision_;
+  by_revision_[record.revision] = record.status.id;
+}
+
+auto backend_registry::Remove(const backend_name& id) -> void {
+  const auto found = records_.find(id);
+  if (found != records_.end()) {
+    by_revision_.erase(found->second.revision);
+    records_.erase(found);
+  }
+}
+
 auto backend_registry::IsNewer(const backend_record& current,
                                const backend_status& status,
                                mono_time now) const -> bool {
@@ -58,7 +72,7 @@
   if (is_same) {
     return announce_result::unchanged;
   }
-  record.revision = ++revision_;
+  Touch(record);
   return announce_result::changed;
 }
 
@@ -73,7 +87,7 @@
     record.status.start_time_ms = start_time_ms;
     record.has_left = true;
     record.last_seen = now;
-    record.revision = ++revision_;
+    Touch(record);
     return true;
   }
   auto& record = found->second;
@@ -83,7 +97,7 @@
   }
   record.has_left = true;
   record.last_seen = now;
-  record.revision = ++revision_;
+  Touch(record);
   return true;
 }
 
@@ -91,6 +105,9 @@
   const auto start_time_ms = record.status.start_time_ms;
   auto [found, is_new] = records_.try_emplace(record.status.id, record);
   auto& known = found->second;
+  if (is_new) {
+    known.revision = 0;  // that of the record is of another registry
+  }
   if (!is_new &&
       (known.has_left ||
        (start_time_ms != 0 && start_time_ms < known.status.start_time_ms))) {
@@ -101,7 +118,7 @@
       std::max(known.status.start_time_ms, start_time_ms);
   known.has_left = true;
   known.last_seen = record.last_seen;
-  known.revision = ++revision_;
+  Touch(known);
   return true;
 }
 
@@ -138,7 +155,9 @@
   const auto had_said_leaving = merged.has_said_leaving;
   const auto is_same_run =
       merged.status.start_time_ms == record.status.start_time_ms;
+  const auto known_revision = merged.revision;
   merged = record;
+  merged.revision = known_revision;  // that of `record` is of another registry
   if (is_same_run && known_limit.observed > record.limit.observed) {
     merged.limit = known_limit;
   }
@@ -146,7 +165,7 @@
     merged.has_said_leaving = true;
     merged.status.is_leaving = true;
   }
-  merged.revision = ++revision_;
+  Touch(merged);
   return true;
 }
 
@@ -163,7 +182,7 @@
   const auto is_change = record.limit.rate != limit.rate;
   record.limit = limit;
   if (is_change) {
-    record.revision = ++revision_;
+    Touch(record);
   }
   return is_change;
 }
@@ -179,7 +198,7 @@
   auto& record = found->second;
   record.has_said_leaving = true;
   record.status.is_leaving = true;
-  record.revision = ++revision_;
+  Touch(record);
   return true;
 }
 
@@ -191,7 +210,7 @@
     return;
   }
   change(found->second.status);
-  found->second.revision = ++revision_;
+  Touch(found->second);
 }
 
 auto backend_registry::Expire(mono_time now) -> std::vector<backend_name> {
@@ -201,13 +220,20 @@
     if (!record.has_left && !record.is_suspected &&
         age > options_.suspect_after) {
       record.is_suspected = true;
-      record.revision = ++revision_;
+      Touch(record);
       suspected.push_back(id);
     }
   }
-  std::erase_if(records_, [&](const auto& item) {
-    return now - item.second.last_seen > options_.remove_after;
-  });
+  for (auto item = records_.begin(); item != records_.end();) {
+    const auto is_expired =
+        now - item->second.last_seen > options_.remove_after;
+    if (is_expired) {
+      by_revision_.erase(item->second.revision);
+      item = records_.erase(item);
+    } else {
+      ++item;
+    }
+  }
   return suspected;
 }
 
@@ -219,7 +245,7 @@
   }
   found->second.is_suspected = true;
   found->second.last_seen = now;
-  found->second.revision = ++revision_;
+  Touch(found->second);
   return true;
 }
 
@@ -238,10 +264,9 @@
 auto backend_registry::ListSince(std::uint64_t revision) const
     -> std::vector<const backend_record*> {
   auto list = std::vector<const backend_record*>();
-  for (const auto& [id, record] : records_) {
-    if (record.revision > revision) {
-      list.push_back(&record);
-    }
+  for (auto item = by_revision_.upper_bound(revision);
+       item != by_revision_.end(); ++item) {
+    list.push_back(&records_.at(item->second));
   }
   return list;
 }
--- a/core/backend_registry.h
+++ b/core/backend_registry.h
@@ -46,8 +46,13 @@
 class backend_registry {
   backend_registry_options options_;
   std::map<backend_name, backend_record> records_;
+  // The names of the records by the revision of their last change.
+  std::map<std::uint64_t, backend_name> by_revision_;
   std::uint64_t revision_ = 0;
 
+  // Gives a record of this registry the next revision.
+  auto Touch(backend_record& record) -> void;
+
   auto MergeDeparture(const backend_record& record) -> bool;
   auto MergeSuspicion(const backend_record& record) -> bool;
   auto IsNewer(const backend_record& current,
@@ -87,14 +92,15 @@
   // or has left.
   auto Suspect(const backend_name& id, mono_time now) -> bool;
   // Removes a record. Nothing is announced for it.
-  auto Remove(const backend_name& id) -> void { records_.erase(id); }
+  auto Remove(const backend_name& id) -> void;
   // Sets the last-seen time of all records to `now`. For use after a time in
   // which announcements could not arrive.
   auto Refresh(mono_time now) -> void;
 
   // Returns nullptr for an unknown server.
   auto Find(const backend_name& id) const -> const backend_record*;
-  // Returns the records that changed after `revision`.
+  // Returns the records that changed after `revision`, oldest change first. Its
+  // cost is that of the returned records.
   auto ListSince(std::uint64_t revision) const
       -> std::vector<const backend_record*>;
   auto get_records() const -> const std::map<backend_name, backend_record>& {
--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -69,6 +69,10 @@
           counters,
           registry_,
           [this] { return raft_.IsConfirmedLeader(); },
+          [this](const backend_name& id) {
+            const auto number = backend_index_.GetNumber(id);
+            return static_cast<double>(load_totals_.Get(number).requests);
+          },
           [this] {
             loop_.AddTimerIn(duration(0), [this] { ExecuteOrders(); });
           }),
@@ -426,10 +430,6 @@
   TakeCensus();
   drain_acks_.Tick(loop_.get_now());
   load_totals_.Expire(loop_.get_now());
-  for (const auto& [id, record] : registry_.get_records()) {
-    order_executor_.RecordLoad(
-        id, static_cast<double>(load_totals_.Get(id).requests));
-  }
   ExecuteOrders();
 }
 
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -167,7 +167,6 @@
   // Fills in what is known of the streams that the request asks for.
   auto FillOrigins(const schema::sync_request& request,
                    schema::sync_answer& reply) -> void;
-  auto FillLoads(schema::backend_loads& rows) const -> void;
   auto FillRegistry(const schema::sync_request& request,
                     schema::sync_answer& reply) -> void;
   auto FillGatewayAnswer(const schema::sync_request& request,
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -121,16 +121,9 @@
     -> void {
   // Backend indexes of another epoch do not identify servers of this registry.
   if (request.roster_source() == registry_epoch_) {
-    auto report = load_report();
-    ForEachLoad(request.loads(), backend_index_,
-                [&report](const backend_name& id, std::uint32_t requests,
-                          std::uint64_t tokens) {
-                  report[id] = {requests, tokens};
-                });
-    load_totals_.Report(vm_name(request.vm()), std::move(report),
+    load_totals_.Report(vm_name(request.vm()),
+                        GetLoadReport(request.loads(), backend_index_),
                         loop_.get_now());
-  }
-  if (request.roster_source() == registry_epoch_) {
     for (const auto number : request.unreachable()) {
       if (const auto* id = backend_index_.FindName(number)) {
         order_executor_.VerifyReachable(*id);
@@ -268,13 +261,6 @@
   metrics_.Set("ebony_known_streams", static_cast<double>(origins_.get_size()));
 }
 
-auto coordinator_daemon::FillLoads(schema::backend_loads& rows) const -> void {
-  for (const auto& [id, amount] : load_totals_.get_totals()) {
-    AddLoad(rows, backend_index_.GetNumber(id),
-            static_cast<std::uint32_t>(amount.requests), amount.tokens);
-  }
-}
-
 auto coordinator_daemon::FillRegistry(const schema::sync_request& request,
                                       schema::sync_answer& reply) -> void {
   reply.set_roster_source(registry_epoch_);
@@ -309,7 +295,7 @@
        request.reaches_no_server()});
   RecordLoads(request);
   RecordPermitRequests(request);
-  FillLoads(*reply.mutable_loads());
+  AddLoads(*reply.mutable_loads(), load_totals_.GetReport());
   FillRegistry(request, reply);
   AddSoftwareVersions(reply, request, GetCurrentSoftware());
   FillPermits(vm_name(request.vm()), reply);
@@ -350,7 +336,7 @@
   AddSoftwareVersions(reply, request, GetCurrentSoftware());
   FillPermits(vm_name(request.vm()), reply);
   if (reply.gateway_count() > sync_relay::kMaxDirectGateways) {
-    FillLoads(*reply.mutable_loads());
+    AddLoads(*reply.mutable_loads(), load_totals_.GetReport());
   }
   if (request.wants_gateways()) {
     FillGateways(reply);
--- a/main/order_executor.cc
+++ b/main/order_executor.cc
@@ -50,14 +50,16 @@
 
 }  // namespace
 
-order_executor::order_executor(const site_settings& settings,
-                               event_loop& loop,
-                               http_pool& pool,
-                               event_log& log,
-                               metrics& counters,
-                               backend_registry& registry,
-                               std::function<bool()> is_confirmed_leader,
-                               std::function<void()> on_server_ready)
+order_executor::order_executor(
+    const site_settings& settings,
+    event_loop& loop,
+    http_pool& pool,
+    event_log& log,
+    metrics& counters,
+    backend_registry& registry,
+    std::function<bool()> is_confirmed_leader,
+    std::function<double(const backend_name&)> get_requests,
+    std::function<void()> on_server_ready)
     : settings_(settings),
       loop_(loop),
       pool_(pool),
@@ -65,6 +67,7 @@
       metrics_(counters),
       registry_(registry),
       is_confirmed_leader_(std::move(is_confirmed_leader)),
+      get_requests_(std::move(get_requests)),
       on_server_ready_(std::move(on_server_ready)),
       planner_(model_planner_options()) {}
 
@@ -386,7 +389,7 @@
         adjusted_statuses.back().models = state.held;
         planned = &adjusted_statuses.back();
       }
-      servers.push_back({planned, requests_in_flight_[id],
+      servers.push_back({planned, get_requests_(id),
                          is_unavailable || !state.accepted.has_value()});
     }
     const auto orders = planner_.Plan(*service.engine, servers, now);
@@ -404,9 +407,4 @@
   }
 }
 
-auto order_executor::RecordLoad(const backend_name& id, double requests)
-    -> void {
-  requests_in_flight_[id] = requests;
-}
-
 }  // namespace ebony
--- a/main/order_executor.h
+++ b/main/order_executor.h
@@ -45,9 +45,10 @@
   metrics& metrics_;
   backend_registry& registry_;
   std::function<bool()> is_confirmed_leader_;
+  // Returns the requests in flight at a server, of all gateways.
+  std::function<double(const backend_name&)> get_requests_;
   std::function<void()> on_server_ready_;  // a server can take its next order
   std::map<backend_name, server_state> server_states_;
-  std::map<backend_name, double> requests_in_flight_;
   model_planner planner_;
   mono_time leader_since_;
   bool is_leading_ = false;
@@ -81,6 +82,7 @@
                  metrics& counters,
                  backend_registry& registry,
                  std::function<bool()> is_confirmed_leader,
+                 std::function<double(const backend_name&)> get_requests,
                  std::function<void()> on_server_ready);
 
   // `term` becomes the fencing number of all orders.
@@ -97,8 +99,6 @@
   // Calls a server that a gateway could not connect to, and suspects it if it
   // cannot be reached from here either.
   auto VerifyReachable(const backend_name& id) -> void;
-  // Records the number of requests in flight at a backend server.
-  auto RecordLoad(const backend_name& id, double requests) -> void;
   // Plans orders and sends them to the servers that can take one. Sends none
   // until the order lease of the previous leader has expired, and no byte of an
   // order while `is_confirmed_leader` returns false.
--- a/main/sync_relay.cc
+++ b/main/sync_relay.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "codec/site_codec.h"
 
@@ -35,13 +36,8 @@
   if (request.roster_source() != GetSource()) {
     return;  // its server index were assigned by another leader or relay
   }
-  auto report = load_report();
-  ForEachLoad(request.loads(), registry_.get_index(),
-              [&report](const backend_name& id, std::uint32_t requests,
-                        std::uint64_t tokens) {
-                report[id] = {requests, tokens};
-              });
-  own_loads_.Report(vm_name(request.vm()), std::move(report), now);
+  own_loads_.Report(vm_name(request.vm()),
+                    GetLoadReport(request.loads(), registry_.get_index()), now);
 }
 
 auto sync_relay::RecordDemands(const schema::sync_request& request) -> void {
@@ -94,6 +90,24 @@
   }
 }
 
+auto sync_relay::GetTotalLoads() const -> load_report {
+  auto totals = other_loads_;
+  auto is_listed = std::vector<bool>();
+  for (auto& [number, amount] : totals) {
+    const auto own = own_loads_.Get(number);
+    amount.requests += own.requests;
+    amount.tokens += own.tokens;
+    is_listed.resize(std::max<std::size_t>(is_listed.size(), number + 1));
+    is_listed[number] = true;
+  }
+  for (const auto& row : own_loads_.GetReport()) {
+    if (row.number >= is_listed.size() || !is_listed[row.number]) {
+      totals.push_back(row);
+    }
+  }
+  return totals;
+}
+
 auto sync_relay::FillGatewayAnswer(const schema::sync_request& request,
                                    schema::sync_answer& answer,
                                    mono_time now) -> void {
@@ -112,15 +126,7 @@
     *row = ToSchema(*record, now);
     row->set_number(index.GetNumber(record->status.id));
   }
-  auto totals = other_loads_;
-  for (const auto& [id, amount] : own_loads_.get_totals()) {
-    totals[id].requests += amount.requests;
-    totals[id].tokens += amount.tokens;
-  }
-  for (const auto& [id, amount] : totals) {
-    AddLoad(*answer.mutable_loads(), index.GetNumber(id),
-            static_cast<std::uint32_t>(amount.requests), amount.tokens);
-  }
+  AddLoads(*answer.mutable_loads(), GetTotalLoads());
   AddSoftwareVersions(answer, request, software_.Get());
   answer.set_grants_permits(has_permits_);
   AddPermits(answer, permits_.Take(vm_name(request.vm()), now), index);
@@ -143,12 +149,9 @@
         now - gateway.last_sync);
     row->set_silent_ms(static_cast<std::uint32_t>(age.count()));
   }
-  reported_loads_ = own_loads_.get_totals();
+  reported_loads_ = own_loads_;
+  AddLoads(*request.mutable_loads(), own_loads_.GetReport());
   const auto& index = registry_.get_index();
-  for (const auto& [id, amount] : reported_loads_) {
-    AddLoad(*request.mutable_loads(), index.GetNumber(id),
-            static_cast<std::uint32_t>(amount.requests), amount.tokens);
-  }
   for (auto& [id, row] : demands_) {
     *request.add_demands() = std::move(row);
   }
@@ -174,18 +177,17 @@
     for (auto& [vm, gateway] : gateways_) {
       gateway.row.set_told_roster(0);
     }
+    // The loads go by the previous leader's numbers.
+    own_loads_.Clear();
+    reported_loads_.Clear();
   }
   software_.ApplyAnswer(answer);
-  other_loads_.clear();
-  ForEachLoad(answer.loads(), registry_.get_index(),
-              [this](const backend_name& id, std::uint32_t requests,
-                     std::uint64_t tokens) {
-                const auto found = reported_loads_.find(id);
-                const auto own = found == reported_loads_.end() ? load_amount()
-                                                                : found->second;
-                other_loads_[id] = {SubtractSaturating(requests, own.requests),
-                                    SubtractSaturating(tokens, own.tokens)};
-              });
+  other_loads_ = GetLoadReport(answer.loads(), registry_.get_index());
+  for (auto& [number, amount] : other_loads_) {
+    const auto own = reported_loads_.Get(number);
+    amount.requests = SubtractSaturating(amount.requests, own.requests);
+    amount.tokens = SubtractSaturating(amount.tokens, own.tokens);
+  }
   has_permits_ = answer.grants_permits();
   permits_.OnGranted(GetPermits(answer, registry_.get_index()), now);
   gateway_count_ = answer.gateway_count();
--- a/main/sync_relay.h
+++ b/main/sync_relay.h
@@ -35,7 +35,7 @@
   std::map<demand_id, schema::demand_row> demands_;
   load_totals own_loads_;  // of the gateways served here
   // The loads above as sent in the latest sync with the leader.
-  load_report reported_loads_;
+  load_totals reported_loads_;
   // Loads of all other gateways, from the leader's last answer.
   load_report other_loads_;
   // Servers that gateways could not connect to, since the latest sync.
@@ -51,6 +51,8 @@
   bool has_unserved_demand_ = false;
 
   auto GetSource() const -> std::string;
+  // Returns the load of all gateways.
+  auto GetTotalLoads() const -> load_report;
   auto RecordLoads(const schema::sync_request& request, mono_time now) -> void;
   auto RecordDemands(const schema::sync_request& request) -> void;
 
--- a/tests/backend_registry_test.cc
+++ b/tests/backend_registry_test.cc
@@ -165,6 +165,42 @@
   BOOST_TEST(!gateway.Find(backend_name("b"))->has_left);
 }
 
+// Records of another registry have revisions of their own, which must not mix
+// with those of this one.
+BOOST_AUTO_TEST_CASE(changes_are_listed_by_the_revisions_of_this_registry) {
+  auto registry = MakeRegistry();
+  registry.Announce(MakeStatus(1, 1), At(0));
+  auto merged = backend_record();
+  merged.status = MakeStatus(1, 1);
+  merged.status.id = backend_name("c");
+  merged.revision = 1;
+  registry.Merge(merged, At(0));
+  auto departed = merged;
+  departed.status.id = backend_name("d");
+  departed.has_left = true;
+  departed.revision = 2;
+  registry.Merge(departed, At(0));
+  const auto list = [&registry](std::uint64_t revision) {
+    auto names = std::string();
+    for (const auto* record : registry.ListSince(revision)) {
+      names += record->status.id.get();
+    }
+    return names;
+  };
+  BOOST_TEST(list(0) == "bcd");
+  BOOST_TEST(list(1) == "cd");
+  BOOST_TEST(list(registry.get_revision()).empty());
+  // What changes again moves to the end.
+  const auto before = registry.get_revision();
+  registry.Announce(MakeStatus(1, 2, true), At(10));
+  BOOST_TEST(list(before) == "b");
+  BOOST_TEST(list(0) == "cdb");
+  registry.Remove(backend_name("c"));
+  BOOST_TEST(list(0) == "db");
+  registry.Expire(At(40000));
+  BOOST_TEST(list(0).empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_record_is_unchanged_by_encoding_and_decoding) {
   auto record = backend_record();
   record.status = MakeStatus(10, 7, true);
--- a/tests/coordinator_parts_test.cc
+++ b/tests/coordinator_parts_test.cc
@@ -53,29 +53,34 @@
 BOOST_AUTO_TEST_CASE(totals_are_the_sum_of_the_newest_reports) {
   auto generator = std::mt19937_64(3);
   auto totals = load_totals();
-  auto newest = std::map<vm_name, load_report>();
+  using amounts = std::map<std::uint32_t, load_amount>;
+  auto newest = std::map<vm_name, amounts>();
   for (auto round = 0; round < 500; ++round) {
     const auto vm = vm_name("g" + std::to_string(generator() % 9));
-    auto report = load_report();
+    auto report = amounts();
     for (auto row = generator() % 4; row > 0; --row) {
-      const auto id = backend_name("b" + std::to_string(generator() % 5));
-      report[id] = {1 + generator() % 3, generator() % 100};
+      const auto number = static_cast<std::uint32_t>(1 + generator() % 5);
+      report[number] = {1 + generator() % 3, generator() % 100};
     }
     newest[vm] = report;
-    totals.Report(vm, report, At(round));
-    auto expected = std::map<backend_name, std::uint64_t>();
-    for (const auto& [name, rows] : newest) {
-      for (const auto& [id, amount] : rows) {
-        expected[id] += amount.requests;
+    auto rows = load_report();
+    for (const auto& [number, amount] : report) {
+      rows.push_back({number, amount});
+    }
+    totals.Report(vm, rows, At(round));
+    auto expected = std::map<std::uint32_t, std::uint64_t>();
+    for (const auto& [name, list] : newest) {
+      for (const auto& [number, amount] : list) {
+        expected[number] += amount.requests;
       }
     }
-    BOOST_TEST_REQUIRE(totals.get_totals().size() == expected.size());
-    for (const auto& [id, requests] : expected) {
-      BOOST_TEST_REQUIRE(totals.Get(id).requests == requests);
+    BOOST_TEST_REQUIRE(totals.GetReport().size() == expected.size());
+    for (const auto& [number, requests] : expected) {
+      BOOST_TEST_REQUIRE(totals.Get(number).requests == requests);
     }
   }
   totals.Expire(At(60000));
-  BOOST_TEST(totals.get_totals().empty());
+  BOOST_TEST(totals.GetReport().empty());
 }
 
 BOOST_AUTO_TEST_CASE(deflated_bytes_round_trip_and_corruption_is_detected) {
