A full engine is asked again when a slot may be free, not left to the caller

Change: an engine that turned a request away counts as full for about the time in which one of its slots becomes free, twice as long each time in a row and at random; the request waits for it like for any busy server, within the same limits as before, instead of going back to the caller.

Before: the new gateway test got 503 for the first request and a second send at once.

--- a/entry/server_selector.cc
+++ b/entry/server_selector.cc
@@ -118,7 +118,7 @@
 auto server_selector::HasCapacity(const backend_status& status,
                                   const server_query& query,
                                   mono_time now) -> bool {
-  if (GetFreeCapacity(status, query, now) < 1) {
+  if (IsFull(status.id, now) || GetFreeCapacity(status, query, now) < 1) {
     return false;
   }
   const auto load = GetLoad(status.id, now);
@@ -302,6 +302,28 @@
          state.unreachable_start_time_ms == status.start_time_ms;
 }
 
+auto server_selector::IsFull(const backend_name& id, mono_time now) -> bool {
+  return states_[id].full_until > now;
+}
+
+auto server_selector::OnFull(const backend_name& id, mono_time now)
+    -> duration {
+  const auto* record = registry_.Find(id);
+  if (record == nullptr) {
+    return duration(0);
+  }
+  auto& state = states_[id];
+  const auto time_to_a_free_slot =
+      slot_time_ / static_cast<int>(std::max(1U, record->status.slots));
+  state.full_time = std::min(std::max(time_to_a_free_slot, 2 * state.full_time),
+                             options_.max_full_time);
+  const auto jitter =
+      duration(static_cast<duration::rep>(random_(static_cast<std::uint64_t>(
+          std::max<duration::rep>(1, state.full_time.count())))));
+  state.full_until = now + state.full_time / 2 + jitter;
+  return state.full_until - now;
+}
+
 auto server_selector::OnUnreachable(const backend_name& id, mono_time now)
     -> void {
   const auto* record = registry_.Find(id);
@@ -341,6 +363,7 @@
   auto& state = states_[id];
   state.connect_failures = 0;
   state.next_retry = duration(0);
+  state.full_time = duration(0);
   state.failures = 0;
   state.next_ejection = duration(0);
 }
--- a/entry/server_selector.h
+++ b/entry/server_selector.h
@@ -30,6 +30,9 @@
   // and as a fraction of its slots. Whatever an engine queues is late.
   double min_engine_queue = 1;
   double max_engine_queue_fraction = 0.25;
+  // Longest time for which an engine that had no room for a request gets no
+  // further one.
+  duration max_full_time = std::chrono::milliseconds(800);
   // Limit of the unprocessed prompt tokens at one engine. Prefill of more
   // tokens delays the events of the streams that the engine is producing.
   double max_prefill_tokens = 3500;
@@ -112,6 +115,9 @@
     std::uint64_t unreachable_start_time_ms = 0;
     mono_time unreachable_until;
     duration next_retry{0};
+    // No room until then: the server has turned a request away.
+    mono_time full_until;
+    duration full_time{0};  // the last time for which it counted as full
   };
 
   server_selector_options options_;
@@ -150,6 +156,7 @@
                         const server_query& query,
                         mono_time now) -> const backend_status*;
   auto IsUnreachable(const backend_status& status, mono_time now) -> bool;
+  auto IsFull(const backend_name& id, mono_time now) -> bool;
   // Removes the candidates that no request may be sent to for lack of a permit,
   // and returns their names.
   auto RemoveWithoutPermit(std::vector<const backend_record*>& candidates,
@@ -177,6 +184,11 @@
   auto OnPrefilled(const backend_name& id, double tokens) -> void;
   auto OnEnded(const backend_name& id, double tokens) -> void;
   auto OnAnswered(const backend_name& id) -> void;
+  // Records that an engine has turned a request away for want of room: the
+  // loads known here are too old. Returns the time for which it counts as full,
+  // about as long as a slot takes to become free, twice as long each time in a
+  // row, and at random, so that the gateways do not come back together.
+  auto OnFull(const backend_name& id, mono_time now) -> duration;
   // Returns true when the failure ejects the server.
   auto OnFailed(const backend_name& id, mono_time now) -> bool;
   // Records that no connection to the server could be made. Excludes it for a
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -29,6 +29,7 @@
 constexpr double kMaxRequestsOfIdleServer = 2;
 // Share of its slots below which a server runs a request without delay.
 constexpr double kMaxUncongestedLoad = 0.5;
+constexpr int kUnavailable = 503;
 constexpr int kFirstNonSuccess = 300;  // lowest status that is not a success
 
 }  // namespace
@@ -397,6 +398,7 @@
   } else if (outcome == attempt_outcome::not_run) {
     --attempts_;
     ++not_run_answers_;
+    RecordFullServer();
   }
   auto summary = attempt_summary();
   summary.outcome = outcome;
@@ -469,6 +471,23 @@
   }
 }
 
+// An engine without room is asked again once a slot may be free, rather than
+// left to the caller to try: it may be the only one with the model.
+auto proxy_session::RecordFullServer() -> void {
+  const auto is_full = IsDirect() && IsEngine() &&
+                       server_answer_.status == kUnavailable &&
+                       !server_answer_.retry_after;
+  if (!is_full) {
+    return;
+  }
+  const auto time = context_.selector.OnFull(server_, context_.loop.get_now());
+  tried_servers_.erase(server_);
+  context_.counters.Count("ebony_full_servers_total");
+  context_.loop.AddTimerIn(time, [self = shared_from_this()] {
+    self->context_.on_capacity_freed();
+  });
+}
+
 // A VM that reaches no server fails at all of them, which says nothing of each.
 auto proxy_session::RecordServerOutcome(attempt_outcome outcome) -> void {
   if (outcome == attempt_outcome::complete && server_answer_.status < 500) {
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -256,6 +256,8 @@
   auto RecordServerOutcome(attempt_outcome outcome) -> void;
   // Records that no byte of the latest attempt was sent.
   auto RecordUnsent() -> void;
+  // The server has turned the request away for want of room.
+  auto RecordFullServer() -> void;
   auto ReleaseServer() -> void;
   auto RecordServiceTime() -> void;
   auto ArmStallTimer() -> void;
--- a/tests/gateway_rules_test.cc
+++ b/tests/gateway_rules_test.cc
@@ -236,6 +236,34 @@
   }
 }
 
+// Many gateways send to the same server at once, and come back one by one.
+BOOST_AUTO_TEST_CASE(a_full_engine_gets_nothing_until_a_slot_may_be_free) {
+  auto registry = backend_registry(backend_registry_options());
+  registry.Announce(MakeServer("b1", "m"), At(0));
+  const auto slots = registry.Find(backend_name("b1"))->status.slots;
+  auto selector = server_selector(
+      server_selector_options(), registry, GetUnlimited(), GetNoPauses(),
+      [](std::uint64_t bound) { return bound / 2; });
+  auto query = server_query();
+  query.service = service_name("s");
+  query.is_engine = true;
+  query.model = model_name("m");
+  const auto id = backend_name("b1");
+  const auto first = selector.OnFull(id, At(0));
+  BOOST_TEST((first == std::chrono::microseconds(1000000 / slots)));
+  BOOST_TEST((selector.Choose(query, At(0)).verdict == server_verdict::busy));
+  const auto after = At(0) + first;
+  BOOST_TEST((selector.Choose(query, after).verdict == server_verdict::chosen));
+  const auto second = selector.OnFull(id, after);
+  BOOST_TEST((second == std::min(2 * first, duration(800000))));
+  for (auto i = 0; i < 8; ++i) {
+    BOOST_TEST((selector.OnFull(id, after) <= duration(800000)));
+  }
+  selector.OnAnswered(id);
+  BOOST_TEST((selector.OnFull(id, after) == first));
+  BOOST_TEST((selector.OnFull(backend_name("gone"), after) == duration(0)));
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_or_misdirected_server_is_not_chosen) {
   auto registry = backend_registry(backend_registry_options());
   auto selector =
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -455,6 +455,29 @@
   BOOST_TEST(CountReceived(harness) == 1U);
 }
 
+// Load that it answers: many gateways send to the only server of a model at
+// once, and it has no room for all of them.
+BOOST_AUTO_TEST_CASE(a_request_that_a_full_engine_turns_away_waits_for_room) {
+  auto harness = gateway_harness(1);
+  harness.SetEngine(0, {"m"}, 12);
+  harness.AddCommonScript(
+      {{"HTTP/1.1 503 Service Unavailable\r\nEbonythread-Request-Id: $ID\r\n"
+        "Ebonythread-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"},
+       ending::keep});
+  const auto fields = std::string("Ebonythread-Model: m\r\n");
+  const auto first = harness.Send(MakeRequest("model", "a", fields, "prompt"));
+  harness.RunUntil([&] { return CountReceived(harness) == 1; });
+  // Others do not go there either meanwhile.
+  harness.RunFor(milliseconds(10));
+  const auto second = harness.Send(MakeRequest("model", "b", fields, "prompt"));
+  harness.RunFor(milliseconds(10));
+  BOOST_TEST(CountReceived(harness) == 1U);
+  harness.RunUntil([&] { return first->is_complete && second->is_complete; });
+  BOOST_TEST(first->status == 200);
+  BOOST_TEST(second->status == 200);
+  BOOST_TEST(CountReceived(harness) == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_is_queued_for_a_model_that_loads_soon) {
   auto harness = gateway_harness(1);
   harness.SetEngine(0, {"n"}, 4);
