A stream whose server sends bytes but no event counts as stalled

Cause: the stall timer of a resumable stream started anew with each byte from the server.

Ruled out: that such a stream never ends (the time limit ends it, and that of a route that may not be resumed, as before), and that slow but sound streams are cut: a new test has pauses of 0.5 s on a route with an aim of 0.1 s, and passed before and after.

Change: only a complete event starts the timer anew.

Before: gateway/a_stream_stalled_inside_an_event_is_resumed ended broken off at the route's 2 s. After: resumed at the other server within its 0.8 s, whole and without a gap. The suites gateway, broken_answers and stream_versions pass.

--- a/main/proxy_session_answer.cc
+++ b/main/proxy_session_answer.cc
@@ -182,9 +182,11 @@
   } else if (now - first_body_at_ >= kProofTime) {
     RecordRun();
   }
+  const auto events = stream_.get_events();
   ForwardEvents(bytes);
-  if (attempt_ != nullptr) {
-    ArmStallTimer();  // the timeout depends on whether the answer has begun
+  // Bytes that complete no event are no progress.
+  if (attempt_ != nullptr && stream_.get_events() != events) {
+    ArmStallTimer();
   }
 }
 
--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -234,7 +234,7 @@
     item.socket->Send(ReplaceId(piece, item.request->id));
   }
   if (!script.filler.empty()) {
-    SendEndlessly(item.socket, script.filler);
+    SendEndlessly(item.socket, script.filler, script.filler_pause);
     return;
   }
   if (script.end == server_script::ending::crash) {
@@ -250,17 +250,21 @@
 
 auto scripted_server::SendEndlessly(
     const std::shared_ptr<stream_socket>& socket,
-    const std::string& filler) -> void {
+    const std::string& filler,
+    duration pause) -> void {
   constexpr auto kMaxUnsentBytes = std::size_t{1024} * 1024;
+  constexpr auto kShortestPause = duration(milliseconds(1));
   if (!socket->is_open()) {
     return;
   }
-  while (socket->is_open() && socket->get_unsent_bytes() < kMaxUnsentBytes) {
+  do {
     socket->Send(filler);
     filler_bytes_ += filler.size();
-  }
-  loop_.AddTimerIn(milliseconds(1),
-                   [this, socket, filler] { SendEndlessly(socket, filler); });
+  } while (pause == duration(0) && socket->is_open() &&
+           socket->get_unsent_bytes() < kMaxUnsentBytes);
+  loop_.AddTimerIn(
+      std::max(pause, kShortestPause),
+      [this, socket, filler, pause] { SendEndlessly(socket, filler, pause); });
 }
 
 auto scripted_server::AddScript(server_script script) -> void {
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -36,6 +36,8 @@
   // Sent again and again after `writes` until the connection is closed; empty:
   // nothing is.
   std::string filler = {};
+  // Time between two fillers; 0: as many as the gateway takes.
+  duration filler_pause{0};
 };
 
 // A request as received by a scripted server.
@@ -68,7 +70,8 @@
   auto Answer(connection& item) -> void;
   auto Listen(const std::string& address) -> void;
   auto SendEndlessly(const std::shared_ptr<stream_socket>& socket,
-                     const std::string& filler) -> void;
+                     const std::string& filler,
+                     duration pause) -> void;
   auto HoldsCrashingSegment(const received_request& request) const -> bool;
   auto IsCrashing(const received_request& request) const -> bool;
 
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -341,6 +341,40 @@
   BOOST_TEST(!harness.servers[0]->get_received()[0]->is_disconnected);
 }
 
+// The server goes on sending bytes of an event that it never ends.
+BOOST_AUTO_TEST_CASE(a_stream_stalled_inside_an_event_is_resumed) {
+  auto harness = gateway_harness(2);
+  auto stalled = server_script();
+  stalled.writes = {kStreamHead + RenderChunk("id: 1\ndata: a\n\n") +
+                    RenderChunk("id: 2\ndata: ")};
+  stalled.filler = RenderChunk("b");
+  stalled.filler_pause = milliseconds(60);
+  harness.AddCommonScript(stalled);
+  harness.AddCommonScript(
+      {{kStreamHead + RenderChunk("id: 2\ndata: c\n\n") + RenderChunk({})},
+       ending::keep});
+  const auto response = harness.Send(MakeRequest("resume", "id-1"));
+  harness.RunUntil(
+      [&] { return response->is_complete || response->is_closed; });
+  BOOST_TEST(response->is_complete);
+  BOOST_TEST(response->body == "id: 1\ndata: a\n\nid: 2\ndata: c\n\n");
+}
+
+// Each pause is below the stall timeout, and the whole takes much longer.
+BOOST_AUTO_TEST_CASE(a_slow_stream_whose_events_go_on_is_not_cut) {
+  auto harness = gateway_harness(2);
+  auto slow = server_script();
+  slow.writes = {kStreamHead};
+  slow.filler = RenderChunk("data: x\n\n");
+  slow.filler_pause = milliseconds(500);
+  harness.AddCommonScript(slow);
+  const auto response = harness.Send(MakeRequest("stream", "id-1"));
+  harness.RunFor(milliseconds(1700));
+  BOOST_TEST(!response->is_closed);
+  BOOST_TEST(response->body.size() >= 3 * std::string("data: x\n\n").size());
+  BOOST_TEST(CountReceived(harness) == 1U);
+}
+
 // A started stream must not stay open forever if no server can resume it.
 BOOST_AUTO_TEST_CASE(a_truncated_stream_is_aborted_without_another_server) {
   auto harness = gateway_harness(1);
