A stop waits until callers have taken their answers, up to its grace

Cause: a gateway that drains counted a request as done when its answer was handed to the connection.

Change: the listener knows the bytes unsent, those of connections that close after their answer included; a stop ends when there are none.

--- a/drivers/http_listener.cc
+++ b/drivers/http_listener.cc
@@ -133,6 +133,10 @@
   auto CloseConnection() -> void {
     listener_.loop_.CancelTimer(timer_);
     socket_->CloseGracefully();
+    if (socket_->get_unsent_bytes() > 0) {
+      listener_.DropClosed();
+      listener_.closing_.push_back(socket_);
+    }
     listener_.connections_.erase(shared_from_this());
   }
 
@@ -292,12 +296,32 @@
 auto http_listener::CloseIdle() -> void {
   const auto all = connections_;
   for (const auto& connection : all) {
-    if (connection->is_idle()) {
+    if (connection->is_idle() && connection->get_unsent_bytes() == 0) {
       connection->Close();
     }
   }
 }
 
+auto http_listener::DropClosed() -> void {
+  std::erase_if(closing_, [](const std::weak_ptr<stream_socket>& item) {
+    const auto socket = item.lock();
+    return socket == nullptr || socket->get_unsent_bytes() == 0;
+  });
+}
+
+auto http_listener::GetUnsentBytes() -> std::size_t {
+  DropClosed();
+  auto bytes = std::size_t{0};
+  for (const auto& item : closing_) {
+    const auto socket = item.lock();
+    bytes += socket == nullptr ? 0 : socket->get_unsent_bytes();
+  }
+  for (const auto& connection : connections_) {
+    bytes += connection->get_unsent_bytes();
+  }
+  return bytes;
+}
+
 auto http_listener::CloseAll() -> void {
   const auto all = connections_;
   for (const auto& connection : all) {
--- a/drivers/http_listener.h
+++ b/drivers/http_listener.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "core/ids.h"
 #include "drivers/event_loop.h"
@@ -89,6 +90,10 @@
   options options_;
   request_handler handler_;
   std::set<std::shared_ptr<http_connection>> connections_;
+  // Sockets that are closed once the rest of an answer is sent.
+  std::vector<std::weak_ptr<stream_socket>> closing_;
+
+  auto DropClosed() -> void;
   std::unique_ptr<stream_acceptor> acceptor_;
 
   friend class http_connection;
@@ -107,6 +112,8 @@
   auto CloseIdle() -> void;
   auto CloseAll() -> void;
   // Number of open connections.
+  // Bytes of answers that the callers' sockets have not taken yet.
+  auto GetUnsentBytes() -> std::size_t;
   auto get_connections() const -> std::size_t { return connections_.size(); }
 };
 
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -30,6 +30,9 @@
 constexpr duration kMinDrainTime = std::chrono::milliseconds(6500);
 // Requests in flight are aborted this long before the stop grace period ends.
 constexpr duration kAbortMargin = std::chrono::milliseconds(350);
+// The process ends this long before the stop grace period does, even if callers
+// have not taken their answers.
+constexpr duration kExitMargin = std::chrono::milliseconds(100);
 // Interval in which a relay gets the loads of the other gateways.
 constexpr duration kRelayDelay = std::chrono::milliseconds(100);
 constexpr int kOk = 200;
@@ -627,14 +630,12 @@
   RepeatEvery(loop_, kDrainCheckInterval, [this] { CheckDrain(); });
 }
 
-auto gateway_daemon::CheckDrain() -> void {
-  const auto elapsed = loop_.get_now() - drain_start_;
-  const auto is_idle =
-      elapsed >= kMinDrainTime && context_.active_sessions == 0;
-  const auto is_expired = elapsed >= settings_.stop_grace - kAbortMargin;
-  if (is_drained_ || (!is_idle && !is_expired)) {
-    return;
-  }
+auto gateway_daemon::GetUnsentBytes() -> std::size_t {
+  return caller_listener_->GetUnsentBytes() +
+         (peer_listener_ == nullptr ? 0 : peer_listener_->GetUnsentBytes());
+}
+
+auto gateway_daemon::StopSessions() -> void {
   caller_listener_->StopAccepting();
   const auto sessions = sessions_;
   for (const auto& item : sessions) {
@@ -647,7 +648,21 @@
     peer_listener_->StopAccepting();
     peer_listener_->CloseIdle();
   }
-  is_drained_ = true;
+}
+
+// The process ends once this has set `is_drained_`, which would cut off answers
+// that callers have not taken in full.
+auto gateway_daemon::CheckDrain() -> void {
+  const auto elapsed = loop_.get_now() - drain_start_;
+  const auto is_idle =
+      elapsed >= kMinDrainTime && context_.active_sessions == 0;
+  const auto is_expired = elapsed >= settings_.stop_grace - kAbortMargin;
+  if (is_drained_ || (!is_idle && !is_expired)) {
+    return;
+  }
+  StopSessions();
+  is_drained_ =
+      GetUnsentBytes() == 0 || elapsed >= settings_.stop_grace - kExitMargin;
 }
 
 auto gateway_daemon::CountSuspects() const -> std::size_t {
--- a/main/gateway_daemon.h
+++ b/main/gateway_daemon.h
@@ -166,6 +166,8 @@
   auto ScheduleDispatch() -> void;
   auto DispatchPending() -> void;
   auto CheckDrain() -> void;
+  auto StopSessions() -> void;
+  auto GetUnsentBytes() -> std::size_t;
   auto is_ready() const -> bool;
 
  public:
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -233,6 +233,9 @@
   auto RunUntil(const std::function<bool()>& done) -> void;
   auto RunFor(duration time) -> void;
   auto get_gateway() -> gateway_daemon& { return *gateway_; }
+  auto get_caller_address() const -> const host_port& {
+    return settings_.caller_address;
+  }
   // Of the gateways beside the first one.
   auto get_other_settings(std::size_t gateway) const -> const site_settings& {
     return other_settings_.at(gateway);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -1,3 +1,9 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
 #include <boost/test/unit_test.hpp>
 
 #include "tests/gateway_harness.h"
@@ -38,6 +44,59 @@
   return response;
 }
 
+// A caller that reads only when it is told to.
+class slow_reader {
+  int fd_;
+  std::size_t received_ = 0;
+
+ public:
+  explicit slow_reader(const host_port& address)
+      : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    constexpr auto kReceiveBuffer = 4096;  // bytes
+    ::setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &kReceiveBuffer,
+                 sizeof(kReceiveBuffer));
+    const auto colon = address.get().rfind(':');
+    auto to = sockaddr_in();
+    to.sin_family = AF_INET;
+    to.sin_port = htons(
+        static_cast<std::uint16_t>(std::stoi(address.get().substr(colon + 1))));
+    ::inet_pton(AF_INET, address.get().substr(0, colon).c_str(), &to.sin_addr);
+    BOOST_REQUIRE(
+        ::connect(fd_, reinterpret_cast<sockaddr*>(&to), sizeof(to)) == 0);
+  }
+  ~slow_reader() { ::close(fd_); }
+  slow_reader(const slow_reader&) = delete;
+  auto operator=(const slow_reader&) -> slow_reader& = delete;
+
+  auto Send(const std::string& bytes) -> void {
+    BOOST_REQUIRE(::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+                  static_cast<ssize_t>(bytes.size()));
+  }
+  auto ReadFaster() -> void {
+    constexpr auto kLargeReceiveBuffer = 4 * 1024 * 1024;  // bytes
+    ::setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &kLargeReceiveBuffer,
+                 sizeof(kLargeReceiveBuffer));
+  }
+  // Reads a little of what has arrived.
+  auto ReadSlowly() -> void {
+    auto buffer = std::array<char, 2048>();
+    const auto count = ::recv(fd_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    received_ += count > 0 ? static_cast<std::size_t>(count) : 0;
+  }
+  // Reads what has arrived. Returns the number of bytes read so far.
+  auto Read() -> std::size_t {
+    auto buffer = std::string(std::size_t{64} * 1024, 0);
+    for (;;) {
+      const auto count =
+          ::recv(fd_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+      if (count <= 0) {
+        return received_;
+      }
+      received_ += static_cast<std::size_t>(count);
+    }
+  }
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(gateway)
@@ -452,6 +511,28 @@
   harness.RunUntil([&] { return !harness.syncs.back().ready(); });
 }
 
+// The caller has not read all of its answer when the gateway has nothing else
+// left to do. Takes as long as a gateway serves on after SIGTERM.
+BOOST_AUTO_TEST_CASE(a_stop_cuts_off_no_answer_that_is_being_read) {
+  constexpr auto kBytes = std::size_t{6} * 1024 * 1024;
+  auto harness = gateway_harness(1);
+  harness.AddCommonScript(
+      {{MakeResponse(200, std::string(kBytes, 'x'))}, ending::keep});
+  auto reader = slow_reader(harness.get_caller_address());
+  reader.Send(MakeRequest("plain", "id-1"));
+  harness.RunUntil([&] { return CountReceived(harness) == 1; });
+  auto& gateway = harness.get_gateway();
+  gateway.Drain();
+  for (auto i = 0; i < 69; ++i) {
+    harness.RunFor(milliseconds(100));
+    reader.ReadSlowly();
+  }
+  BOOST_TEST(!gateway.is_drained());
+  reader.ReadFaster();
+  harness.RunUntil([&] { return reader.Read() >= kBytes; });
+  harness.RunUntil([&] { return gateway.is_drained(); });
+}
+
 // Several long prompts for one engine at once are sent one after another, so
 // that their prefill does not delay running streams, and none is rejected: each
 // is sent once it has waited long enough.
