The leader looks at the software versions once a second, not at each sync

That the census was the cause is not proved by this commit.

Change: an announcement that brings a version which is not replicated makes the set incomplete at once and the census due at the next tick; otherwise it is taken once a second.

--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -167,7 +167,7 @@
       log_change(ToDomain(row), "software_forgotten");
     }
   }
-  census_revision_ = 0;  // the registry has to be looked at again
+  is_census_due_ = true;
 }
 
 auto coordinator_daemon::RespondToPuts(log_index applied) -> void {
@@ -230,6 +230,10 @@
 auto coordinator_daemon::RecordAnnouncement(backend_status status)
     -> announce_result {
   order_executor_.ApplyKnownModels(status);
+  if (!software_.Contains({status.service, status.software})) {
+    has_all_software_ = false;
+    is_census_due_ = true;
+  }
   return registry_.Announce(status, loop_.get_now());
 }
 
@@ -405,7 +409,8 @@
       crash_desk_.StartLeading(loop_.get_now());
       limits_revision_ = 0;
       census_.Restart();
-      census_revision_ = 0;
+      has_all_software_ = false;
+      is_census_due_ = true;
       drain_acks_.Clear();
       order_executor_.StartLeading(raft_.get_term().get());
     } else {
@@ -435,13 +440,11 @@
 
 auto coordinator_daemon::TakeCensus() -> void {
   const auto now = loop_.get_now();
-  const auto is_due = census_revision_ != registry_.get_revision() ||
-                      now - census_taken_ >= kCensusInterval;
-  if (!is_due) {
+  if (!is_census_due_ && now - census_taken_ < kCensusInterval) {
     return;
   }
   census_taken_ = now;
-  census_revision_ = registry_.get_revision();
+  is_census_due_ = false;
   has_all_software_ = HasAllVersions(software_, registry_);
   const auto change = census_.Plan(registry_, software_, now);
   if (change.is_empty() || software_proposal_) {
@@ -457,10 +460,8 @@
   software_proposal_ = raft_.Propose(message.SerializeAsString());
 }
 
-auto coordinator_daemon::GetCurrentSoftware() -> const software_versions* {
-  if (census_revision_ != registry_.get_revision()) {
-    TakeCensus();
-  }
+auto coordinator_daemon::GetCurrentSoftware() const
+    -> const software_versions* {
   const auto is_current = has_all_software_ && raft_.IsConfirmedLeader();
   return is_current ? &software_ : nullptr;
 }
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -70,10 +70,8 @@
   std::string reported_leader_;  // that was sent all origins
   software_census census_;
   mono_time census_taken_;
-  // Revision of the registry whose versions were looked at last, and whether
-  // `software_` has them all.
-  std::uint64_t census_revision_ = 0;
-  bool has_all_software_ = false;
+  bool is_census_due_ = false;     // before its regular time
+  bool has_all_software_ = false;  // `software_` has all of the registry
   // The latest change of `software_`, until it is applied.
   std::optional<log_index> software_proposal_;
   // Revision of the registry whose limits the allocator has.
@@ -154,11 +152,13 @@
   auto RecordPermitRequests(const schema::sync_request& request) -> void;
   // Passes the limits in the registry on to the permit allocator.
   auto UpdateLimits() -> void;
-  // Proposes the changes of the replicated software versions that are due.
+  // Looks at the software versions of all servers and proposes the changes of
+  // the replicated ones that are due. Done once a second, and when an
+  // announcement brings a version that is not replicated.
   auto TakeCensus() -> void;
   // Returns the software versions if all that the registry lists are replicated
   // and this coordinator is sure to lead, nullptr otherwise.
-  auto GetCurrentSoftware() -> const software_versions*;
+  auto GetCurrentSoftware() const -> const software_versions*;
   auto FillPermits(const vm_name& vm, schema::sync_answer& reply) -> void;
   auto GetDeskRole() -> desk_role;
   auto HandleCrashes(const schema::sync_request& request,
