--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -1,29 +1,53 @@
 // ebony_site_soak: runs the programs of a site as processes, under load and
 // random faults, and checks the guarantees to callers and operators.
 //   ebony_site_soak PROGRAM_DIR SEED SECONDS [calm]
-// With "calm", no faults are injected.
+//   ebony_site_soak PROGRAM_DIR SEED brittle [alike] [faults]
+// With "calm", no faults are injected. With "brittle", the load is above what
+// the servers can run and those fall over if they have to reject many requests.
 
 #include <signal.h>
 
 #include <cstdlib>
 #include <iostream>
+#include <set>
 #include <string>
 
+#include "tests/soak/brittle_scene.h"
 #include "tests/soak/soak_site.h"
 
+namespace {
+
+// Prints what was found. Returns the exit status.
+template <typename scene>
+auto Report(const scene& played, const std::string& seed) -> int {
+  for (const auto& violation : played.get_violations()) {
+    std::cout << "BREACH: " << violation << "\n";
+  }
+  std::cout << "seed " << seed << ": " << played.Describe() << "\n";
+  return played.get_violations().empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+}  // namespace
+
 auto main(int argc, char** argv) -> int {
   constexpr int kExitUsage = 2;
   if (argc < 4) {
-    std::cerr << "usage: ebony_site_soak PROGRAM_DIR SEED SECONDS [calm]\n";
+    std::cerr << "usage: ebony_site_soak PROGRAM_DIR SEED SECONDS [calm]\n"
+                 "       ebony_site_soak PROGRAM_DIR SEED brittle [alike] "
+                 "[faults]\n";
     return kExitUsage;
   }
   ::signal(SIGPIPE, SIG_IGN);
-  auto site = ebony::testing::soak_site(argv[1], std::stoull(argv[2]));
+  const auto words = std::set<std::string>(argv + 3, argv + argc);
+  const auto seed = std::stoull(argv[2]);
+  if (words.contains("brittle")) {
+    auto scene = ebony::testing::brittle_scene(
+        argv[1], seed, {words.contains("alike"), words.contains("faults")});
+    scene.Run();
+    return Report(scene, argv[2]);
+  }
+  auto site = ebony::testing::soak_site(argv[1], seed);
   site.Start();
   site.Run(std::chrono::seconds(std::stoi(argv[3])), argc == 4);
-  for (const auto& violation : site.get_violations()) {
-    std::cout << "BREACH: " << violation << "\n";
-  }
-  std::cout << "seed " << argv[2] << ": " << site.Describe() << "\n";
-  return site.get_violations().empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+  return Report(site, argv[2]);
 }
--- a/tests/soak/soak_site.cc
+++ b/tests/soak/soak_site.cc
@@ -19,8 +19,6 @@
 using std::chrono::milliseconds;
 
 constexpr int kCoordinators = 3;
-constexpr int kGateways = 2;
-constexpr int kServers = 3;
 // Port offsets of the listeners, from the first port of the run.
 constexpr int kLink = 0;
 constexpr int kOperator = 1;
@@ -28,6 +26,7 @@
 constexpr int kCallers = 3;
 constexpr int kReadiness = 4;
 constexpr int kServer = 5;
+constexpr std::uint64_t kFirstStartMs = 1000;
 // Time without coordinator faults after a fault has ended.
 constexpr duration kRecoveryTime = milliseconds(4000);
 
@@ -98,8 +97,10 @@
 
 }  // namespace
 
-soak_site::soak_site(std::string program_dir, std::uint64_t seed)
-    : random_(seed), program_dir_(std::move(program_dir)) {
+soak_site::soak_site(std::string program_dir,
+                     std::uint64_t seed,
+                     soak_site_options options)
+    : random_(seed), program_dir_(std::move(program_dir)), options_(options) {
   auto name = std::string("/tmp/ebony-soak-XXXXXX");
   folder_ = ::mkdtemp(name.data());
   port_ = 20000 + (::getpid() % 2000) * 10;
@@ -272,6 +273,10 @@
 auto soak_site::OnServerCall(std::size_t server,
                              const incoming_request& call,
                              const response_pointer& answer) -> void {
+  if (server_handler_) {
+    server_handler_(server, call, answer);
+    return;
+  }
   const auto id = *call.head.Find("Ebonythread-Request-Id");
   const auto* expected = call.head.Find("Ebonythread-Expect-Instance");
   if (expected == nullptr || *expected != "i-" + std::to_string(server)) {
@@ -300,14 +305,17 @@
 }
 
 auto soak_site::Announce(std::size_t server) -> void {
+  if (servers_[server] == nullptr) {
+    return;
+  }
   const auto ip = "127.0.3." + std::to_string(server + 1);
   const auto body =
       nlohmann::json({{"service", "s"},
                       {"addr", ip + ":" + std::to_string(port_ + kServer)},
                       {"zone", "z1"},
-                      {"slots", 50},
+                      {"slots", options_.slots},
                       {"state", "ready"},
-                      {"born", 1000},
+                      {"born", start_times_ms_[server]},
                       {"seq", ++sequences_[server]}})
           .dump();
   const auto to = GetAddress(
@@ -351,7 +359,9 @@
   const char* const kinds[] = {"idempotent", "non_idempotent", "streaming"};
   const auto kind = std::string(kinds[PickRandom(3)]);
   requests_[id].is_idempotent = kind == "idempotent";
-  const auto& gateway = processes_[kCoordinators + PickRandom(kGateways)];
+  const auto& gateway =
+      processes_[kCoordinators +
+                 PickRandom(static_cast<std::uint64_t>(options_.gateways))];
   const auto bytes = MakeCall(
       kind == "idempotent" ? "GET" : "POST", "/" + kind + "/x",
       "Ebonythread-Request-Id: " + id + "\r\nEbonythread-Deadline-Ms: 1500\r\n",
@@ -406,7 +416,7 @@
 }
 
 auto soak_site::Start() -> void {
-  for (auto i = 0; i < kCoordinators + kGateways; ++i) {
+  for (auto i = 0; i < kCoordinators + options_.gateways; ++i) {
     auto process = soak_process();
     process.is_coordinator = i < kCoordinators;
     const auto number = process.is_coordinator ? i + 1 : i + 1 - kCoordinators;
@@ -423,25 +433,84 @@
   for (auto& process : processes_) {
     Spawn(process, true);
   }
-  auto options = http_listener::options();
-  options.get_limits = [] { return connection_limits(); };
-  options.is_closing = [] { return false; };
-  for (auto i = std::size_t{0}; i < kServers; ++i) {
-    servers_.push_back(std::make_unique<http_listener>(
-        loop_,
-        host_port("127.0.3." + std::to_string(i + 1) + ":" +
-                  std::to_string(port_ + kServer)),
-        options,
-        [this, i](const incoming_request& call,
-                  const response_pointer& answer) {
-          OnServerCall(i, call, answer);
-        }));
+  const auto servers = static_cast<std::size_t>(options_.servers);
+  servers_.resize(servers);
+  for (auto i = std::size_t{0}; i < servers; ++i) {
     sequences_.push_back(0);
     announce_targets_.push_back(i);
+    start_times_ms_.push_back(kFirstStartMs);
+    ListenAt(i);
     RepeatEvery(loop_, milliseconds(300), [this, i] { Announce(i); });
   }
 }
 
+auto soak_site::ListenAt(std::size_t server) -> void {
+  auto options = http_listener::options();
+  options.get_limits = [] { return connection_limits(); };
+  options.is_closing = [] { return false; };
+  servers_[server] = std::make_unique<http_listener>(
+      loop_,
+      host_port("127.0.3." + std::to_string(server + 1) + ":" +
+                std::to_string(port_ + kServer)),
+      options,
+      [this, server](const incoming_request& call,
+                     const response_pointer& answer) {
+        OnServerCall(server, call, answer);
+      });
+}
+
+auto soak_site::StopServer(std::size_t server) -> void {
+  // A call of the listener may be under way.
+  const auto listener =
+      std::shared_ptr<http_listener>(std::move(servers_[server]));
+  listener->StopAccepting();
+  loop_.AddTimerIn(duration(0), [listener] { listener->CloseAll(); });
+}
+
+auto soak_site::RestartServer(std::size_t server) -> void {
+  ++start_times_ms_[server];
+  sequences_[server] = 0;
+  ListenAt(server);
+  Announce(server);
+}
+
+auto soak_site::SendToGateway(std::size_t gateway,
+                              const std::string& bytes,
+                              std::function<void(http_head, std::string)> done)
+    -> void {
+  const auto& process = processes_.at(kCoordinators + gateway);
+  pool_.Start(GetAddress(process, kCallers), bytes, false, call_options(),
+              CollectAnswer(std::move(done)));
+}
+
+auto soak_site::KillGateway(std::size_t gateway, duration time) -> void {
+  auto& process = processes_.at(kCoordinators + gateway);
+  process.has_active_fault = true;
+  ++faults_;
+  Reap(process, true);
+  RestartAfter(kCoordinators + gateway, time, false);
+}
+
+auto soak_site::FreezeGateway(std::size_t gateway, duration time) -> void {
+  auto& process = processes_.at(kCoordinators + gateway);
+  process.has_active_fault = true;
+  ++faults_;
+  Signal(process, SIGSTOP);
+  loop_.AddTimerIn(time, [this, gateway] {
+    auto& frozen = processes_.at(kCoordinators + gateway);
+    Signal(frozen, SIGCONT);
+    frozen.has_active_fault = false;
+  });
+}
+
+auto soak_site::IsUp(std::size_t gateway) const -> bool {
+  return !processes_.at(kCoordinators + gateway).has_active_fault;
+}
+
+auto soak_site::PutNextConfig() -> void {
+  PutConfig(++next_config_, PickCoordinator(), 2);
+}
+
 auto soak_site::Run(duration time, bool with_faults) -> void {
   const auto until = loop_.RefreshNow() + time;
   const auto is_under_load = [this, until] { return loop_.get_now() < until; };
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -28,6 +29,16 @@
   bool has_active_fault = false;
 };
 
+struct soak_site_options {
+  int gateways = 2;
+  int servers = 3;
+  int slots = 50;  // of each server
+};
+
+// Answers a request at a simulated backend server instead of the site.
+using soak_server_handler = std::function<
+    void(std::size_t server, const incoming_request&, const response_pointer&)>;
+
 // State of one caller's request.
 struct soak_request {
   bool is_idempotent = false;
@@ -47,6 +58,8 @@
   std::mt19937_64 random_;
   std::string folder_;
   std::string program_dir_;
+  soak_site_options options_;
+  soak_server_handler server_handler_;  // empty: the site's own
   int port_ = 0;
   std::vector<soak_process> processes_;
   std::vector<std::unique_ptr<http_listener>> servers_;
@@ -54,6 +67,7 @@
   // and, modulo the number of coordinators, the one it announces itself to.
   std::vector<std::uint64_t> sequences_;
   std::vector<std::size_t> announce_targets_;
+  std::vector<std::uint64_t> start_times_ms_;
   std::map<std::string, soak_request> requests_;
   std::vector<std::string> violations_;
   std::uint64_t next_request_ = 0;
@@ -86,6 +100,7 @@
   auto OnServerCall(std::size_t server,
                     const incoming_request& call,
                     const response_pointer& answer) -> void;
+  auto ListenAt(std::size_t server) -> void;
   auto Announce(std::size_t server) -> void;
   auto SendRequest() -> void;
   auto OnAnswer(const std::string& id,
@@ -100,7 +115,9 @@
  public:
   // `program_dir` holds the programs. `seed` determines the random requests and
   // faults.
-  soak_site(std::string program_dir, std::uint64_t seed);
+  soak_site(std::string program_dir,
+            std::uint64_t seed,
+            soak_site_options options = {});
   ~soak_site();
 
   // Starts the processes and the simulated backend servers.
@@ -108,6 +125,32 @@
   // Runs load for `time`, with random faults when `with_faults` is set. Then
   // waits for the site to recover, and checks that it serves callers and reads.
   auto Run(duration time, bool with_faults) -> void;
+  // From now on, `handler` answers what the simulated backend servers get.
+  auto SetServerHandler(soak_server_handler handler) -> void {
+    server_handler_ = std::move(handler);
+  }
+  // The server closes all connections and its port.
+  auto StopServer(std::size_t server) -> void;
+  // The server starts again under its name.
+  auto RestartServer(std::size_t server) -> void;
+  // Sends a request to a gateway. `done` gets a head without status if the call
+  // fails.
+  auto SendToGateway(std::size_t gateway,
+                     const std::string& bytes,
+                     std::function<void(http_head, std::string)> done) -> void;
+  // Kills a gateway, and starts it again after `time`.
+  auto KillGateway(std::size_t gateway, duration time) -> void;
+  // Stops a gateway's process, and continues it after `time`.
+  auto FreezeGateway(std::size_t gateway, duration time) -> void;
+  auto IsUp(std::size_t gateway) const -> bool;
+  auto PutNextConfig() -> void;
+  auto get_loop() -> event_loop& { return loop_; }
+  auto get_acknowledged() const -> std::uint64_t { return acknowledged_; }
+  auto get_folder() const -> const std::string& { return folder_; }
+  // Adds a guarantee that did not hold; the logs are kept.
+  auto Report(const std::string& violation) -> void {
+    RecordViolation(violation);
+  }
   // Guarantees that did not hold, each with the folder of the logs.
   auto get_violations() const -> const std::vector<std::string>& {
     return violations_;
