Logs show the word of brittle servers and the load they were taken for

Cause: `not_run` has several reasons, and nothing said what the server had named or for how full the gateway took it, so the hypotheses of the incident rested on counts. Change: the word is decoded (whole, once; else unreadable) and logged with the known load; a counter of rejections by status. No decision changes.

--- a/core/request_limit.cc
+++ b/core/request_limit.cc
@@ -40,8 +40,26 @@
   return duration(static_cast<duration::rep>(value * kMicrosecondsPerSecond));
 }
 
+auto ParseRejectionCount(std::string_view text)
+    -> std::optional<rejection_count> {
+  constexpr std::uint32_t kMaxCount = 1'000'000;
+  auto value = std::uint32_t{0};
+  const auto* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, value);
+  const auto is_number = result.ec == std::errc() && result.ptr == end;
+  if (!is_number || value > kMaxCount) {
+    return std::nullopt;
+  }
+  return rejection_count(value);
+}
+
 auto GetRateField(const std::optional<request_rate>& rate) -> std::int64_t {
   return rate ? static_cast<std::int64_t>(rate->get()) : -1;
 }
 
+auto GetRejectionField(const std::optional<rejection_count>& count)
+    -> std::int64_t {
+  return count ? static_cast<std::int64_t>(count->get()) : -1;
+}
+
 }  // namespace ebony
--- a/core/request_limit.h
+++ b/core/request_limit.h
@@ -12,6 +12,9 @@
 // Requests per 1,000 seconds.
 using request_rate = strong_type<struct request_rate_tag, std::uint64_t>;
 
+// Rejections in a second.
+using rejection_count = strong_type<struct rejection_count_tag, std::uint32_t>;
+
 // What a backend server said last about the rate of requests that it accepts
 // from all gateways together.
 struct request_limit {
@@ -33,9 +36,18 @@
 // value for anything else, a date included: the clocks of VMs may differ.
 auto ParseRetryAfter(std::string_view text) -> std::optional<duration>;
 
+// Parses a whole number of rejections, without sign. Returns std::nullopt for
+// anything else.
+auto ParseRejectionCount(std::string_view text)
+    -> std::optional<rejection_count>;
+
 // Returns the value of a rate in log lines; -1 stands for no limit.
 auto GetRateField(const std::optional<request_rate>& rate) -> std::int64_t;
 
+// The same for a number of rejections.
+auto GetRejectionField(const std::optional<rejection_count>& count)
+    -> std::int64_t;
+
 }  // namespace ebony
 
 #endif  // EBONY_CORE_REQUEST_LIMIT_H_
--- a/core/request_metadata.h
+++ b/core/request_metadata.h
@@ -70,6 +70,10 @@
   // Limit of the requests of all gateways together; absent when none is stated.
   std::optional<request_rate> limit;
   bool has_unreadable_limit = false;  // a limit is stated but malformed
+  // Rejections in a second above which the server falls over; absent when none
+  // are stated.
+  std::optional<rejection_count> max_rejections;
+  bool has_unreadable_max_rejections = false;
   // Time for which the server wants no request from this gateway; of 503 only.
   std::optional<duration> retry_after;
   bool has_unreadable_retry_after = false;
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -180,6 +180,7 @@
   tried_servers_.insert(server.id);
   prefill_tokens_ = static_cast<double>(metadata_.prompt_tokens);
   const auto requests = context_.selector.GetLoad(server_, now).requests;
+  found_requests_ = requests;
   found_idle_server_ = requests <= kMaxRequestsOfIdleServer;
   found_free_slots_ = requests <= kMaxUncongestedLoad * server.slots;
   const auto permit =
@@ -398,6 +399,8 @@
   } else if (outcome == attempt_outcome::not_run) {
     --attempts_;
     ++not_run_answers_;
+    context_.counters.Count("ebony_server_rejections_total{status=\"" +
+                            std::to_string(server_answer_.status) + "\"}");
     RecordFullServer();
   }
   auto summary = attempt_summary();
@@ -434,6 +437,8 @@
          {"connection", std::string(GetConnectionText())},
          {"silent_ms", duration(now - context_.paths.get_last_bytes())},
          {"status", static_cast<std::int64_t>(server_answer_.status)},
+         {"load", static_cast<std::int64_t>(found_requests_)},
+         {"max_rejections", GetRejectionField(server_answer_.max_rejections)},
          {"retry_after_ms", server_answer_.retry_after.value_or(duration(0))},
          {"framing", GetFramingText()},
          {"events", static_cast<std::int64_t>(stream_.get_events())},
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -134,6 +134,7 @@
   // At the latest attempt.
   bool found_idle_server_ = false;
   bool found_free_slots_ = false;
+  double found_requests_ = 0;  // in flight at the server, as known here
   std::optional<call_failure> connection_failure_;
   // The connection was made for this attempt and has not been answered yet.
   bool is_new_connection_ = false;
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -323,6 +323,29 @@
   BOOST_TEST(!DecodeReport("garbage").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(a_number_of_rejections_is_whole_and_stated_once) {
+  const auto decode = [](const std::vector<std::string>& values) {
+    auto head = http_head();
+    for (const auto& value : values) {
+      head.fields.push_back({"Server-Brittle", value});
+    }
+    return DecodeServerAnswer(head);
+  };
+  BOOST_TEST(decode({"5"}).max_rejections->get() == 5U);
+  BOOST_TEST(decode({"0"}).max_rejections->get() == 0U);
+  BOOST_TEST(!decode({}).max_rejections);
+  BOOST_TEST(!decode({}).has_unreadable_max_rejections);
+  for (const auto& text :
+       {std::string(), std::string("-1"), std::string("1.5"), std::string("x"),
+        std::string("5 "), std::string("+5"), std::string("1000001"),
+        std::string(10 * 1024, '9')}) {
+    BOOST_TEST(!decode({text}).max_rejections, text);
+    BOOST_TEST(decode({text}).has_unreadable_max_rejections, text);
+  }
+  BOOST_TEST(!decode({"5", "5"}).max_rejections);
+  BOOST_TEST(decode({"5", "6"}).has_unreadable_max_rejections);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
