Servers that fall over under rejections get no more than their slots

Callers saw: brittle servers all down at once and again at each return, nothing served for the time of the word, and with requests alike refusals of a sound request (crashes_servers) long after it. Cause: nobody read the word, and the room of a server was known to no one: each gateway added up loads that were 50 ms old and took a server that came back for the best choice. Class: a bound that holds for all gateways' sum, kept by each one's guess; and a fall for want of room taken for a crash. Change: the word travels with the server's registry record. While it holds, a permit is a slot: slot_ledger at leader and relays counts what daemons hold (in flight and unused), lapses what is not reported for 1.5 s, and withholds a slot after a rejection. A gateway uses a slot that its request has freed for its next one, sends without a permit only below half of the slots, and hands back what it does not use. A run that has just started is taken to be brittle if two of its service say so, and gets two slots until it answers. A server that ends within 1.5 s of a rejection accuses nobody. One mechanism for rates and slots: permit_allocator, permit_queue, permit_relay, server_permits.

--- a/codec/site_codec.cc
+++ b/codec/site_codec.cc
@@ -40,6 +40,13 @@
   row.set_limited(limit.rate.has_value());
   row.set_rate(limit.rate.value_or(request_rate()).get());
   row.set_age_ms(GetAgeMilliseconds(limit.observed, now));
+  row.set_falls_over(limit.max_rejections.has_value());
+  row.set_max_rejections(
+      limit.max_rejections.value_or(rejection_count()).get());
+  row.set_presumed(limit.is_presumed);
+  if (limit.last_rejection != mono_time()) {
+    row.set_rejection_age_ms(GetAgeMilliseconds(limit.last_rejection, now) + 1);
+  }
   return row;
 }
 
@@ -50,6 +57,14 @@
     limit.rate = request_rate(row.rate());
   }
   limit.observed = now - std::chrono::milliseconds(row.age_ms());
+  if (row.falls_over()) {
+    limit.max_rejections = rejection_count(row.max_rejections());
+  }
+  limit.is_presumed = row.presumed();
+  if (row.rejection_age_ms() > 0) {
+    limit.last_rejection =
+        now - std::chrono::milliseconds(row.rejection_age_ms() - 1);
+  }
   return limit;
 }
 
@@ -70,6 +85,8 @@
   row->set_waiting(report.waiting);
   row->set_expected(report.expected);
   row->set_returned(report.returned);
+  row->set_held(report.held);
+  row->set_rejected(report.rejected);
 }
 
 auto GetPermitReports(const schema::sync_request& request,
@@ -90,6 +107,8 @@
     report.waiting = row.waiting();
     report.expected = row.expected();
     report.returned = row.returned();
+    report.held = row.held();
+    report.rejected = row.rejected();
     reports.push_back(std::move(report));
   }
   return reports;
--- a/control/permit_allocator.h
+++ b/control/permit_allocator.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "control/permit_queue.h"
+#include "control/slot_ledger.h"
 #include "core/ids.h"
 #include "core/permit_report.h"
 #include "core/request_limit.h"
@@ -13,13 +14,19 @@
 namespace ebony {
 
 // Grants the permits without which no request may be sent to a backend server
-// that limits its requests. They become due one after another, slightly slower
-// than the limit, so that no window holds more than the limit allows however
-// the requests are spread over the gateways. Used by the leader.
+// that limits its requests. For a rate, they become due one after another,
+// slightly slower than the limit, so that no window holds more than the limit
+// allows however the requests are spread over the gateways. For a server that
+// falls over when it has to reject many requests, they are its slots: whoever
+// holds one may have one request there at a time. Used by the leader.
 class permit_allocator {
   struct server_state {
-    request_rate rate;
-    mono_time next_due;  // of the next permit
+    std::uint64_t start_time_ms = 0;
+    std::optional<request_rate> rate;
+    mono_time next_due;  // of the next permit by the rate
+    bool has_slots = false;
+    slot_ledger slots;
+    mono_time slots_not_before;  // no slot is granted earlier
     permit_queue queue;
   };
 
@@ -28,6 +35,14 @@
   double reachable_share_ = 1;
 
   auto GetInterval(const server_state& server) const -> duration;
+  auto SetSlots(server_state& server,
+                const limited_server& limited,
+                bool is_new,
+                mono_time now) -> void;
+  // Returns the time for which a permit has been available, negative if none
+  // is.
+  auto GetAvailability(const server_state& server, mono_time now) const
+      -> duration;
   // Returns the time for which the next permit has been due, negative before.
   auto GetAge(const server_state& server, mono_time now) const -> duration;
 
@@ -42,12 +57,14 @@
   // former one expire.
   static constexpr duration kTakeoverDelay = std::chrono::milliseconds(800);
 
+  // Slots of a server that has started and not answered yet: more follow once
+  // it has.
+  static constexpr std::uint32_t kFirstSlots = 2;
+
   // Starts anew, as the leader from `now` on.
   auto Restart(mono_time now) -> void;
-  // Sets the limit of a server; std::nullopt ends it.
-  auto SetLimit(const backend_name& id,
-                std::optional<request_rate> rate,
-                mono_time now) -> void;
+  // Sets the limit of a server, or that it has none.
+  auto SetLimit(const limited_server& limited, mono_time now) -> void;
   // Sets the share of the gateways that sync. The others may use their part of
   // each limit on their own, so it is not granted.
   auto SetReachableShare(double share) -> void { reachable_share_ = share; }
--- a/control/permit_relay.h
+++ b/control/permit_relay.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "control/permit_queue.h"
+#include "control/slot_ledger.h"
 #include "core/ids.h"
 #include "core/permit_report.h"
 
@@ -24,6 +25,9 @@
     std::deque<mono_time> granted;  // times of the permits that are left
     std::uint32_t returned = 0;     // since the latest report
     bool has_asked = false;         // the latest report asked for permits
+    slot_ledger slots;              // that its gateways hold
+    std::uint32_t rejected = 0;     // since the latest report
+    std::uint32_t reported_held = 0;
   };
 
   std::map<backend_name, server_state> servers_;
--- a/core/backend_registry.cc
+++ b/core/backend_registry.cc
@@ -6,6 +6,11 @@
 
 namespace {
 
+// Rejections of a server within this time are passed on as one.
+constexpr duration kRejectionInterval = std::chrono::milliseconds(400);
+// Servers of a service that have to say so before a further one is taken to.
+constexpr int kPresumptionServers = 2;
+
 // Compares two announcements without their sequence numbers.
 auto HasSameContent(backend_status left, const backend_status& right) -> bool {
   left.sequence = right.sequence;
@@ -57,8 +62,8 @@
   }
   const auto is_known = found != records_.end();
   auto& record = records_[status.id];
-  if (is_known && record.status.start_time_ms != status.start_time_ms) {
-    record.limit = request_limit();
+  if (!is_known || record.status.start_time_ms != status.start_time_ms) {
+    record.limit = PresumeLimit(status, record.limit, now);
     record.has_said_leaving = false;
   }
   auto announced = status;
@@ -76,6 +81,34 @@
   return announce_result::changed;
 }
 
+auto backend_registry::PresumeLimit(const backend_status& status,
+                                    const request_limit& former,
+                                    mono_time now) const -> request_limit {
+  auto presumed = request_limit();
+  auto servers = 0;
+  const auto count = [&](const request_limit& limit) {
+    if (!limit.max_rejections) {
+      return;
+    }
+    ++servers;
+    presumed.max_rejections =
+        std::min(presumed.max_rejections.value_or(*limit.max_rejections),
+                 *limit.max_rejections);
+  };
+  count(former);
+  for (const auto& [id, record] : records_) {
+    if (record.status.service == status.service && id != status.id) {
+      count(record.limit);
+    }
+  }
+  if (servers < kPresumptionServers) {
+    return {};
+  }
+  presumed.is_presumed = true;
+  presumed.observed = now;
+  return presumed;
+}
+
 auto backend_registry::Leave(const backend_name& id,
                              std::uint64_t start_time_ms,
                              mono_time now) -> bool {
@@ -144,7 +177,9 @@
   const auto is_update_of_same_start =
       is_same_start && !found->second.has_left &&
       (found->second.status != record.status ||
-       found->second.limit.rate != record.limit.rate ||
+       !IsSameStatement(found->second.limit, record.limit) ||
+       record.limit.last_rejection - found->second.limit.last_rejection >=
+           kRejectionInterval / 2 ||
        (record.has_said_leaving && !found->second.has_said_leaving) ||
        found->second.is_suspected != record.is_suspected);
   if (!is_newer && !is_update_of_same_start) {
@@ -179,14 +214,31 @@
     return false;
   }
   auto& record = found->second;
-  const auto is_change = record.limit.rate != limit.rate;
+  const auto is_change = !IsSameStatement(record.limit, limit);
+  const auto last_rejection = record.limit.last_rejection;
   record.limit = limit;
+  record.limit.last_rejection = std::max(last_rejection, limit.last_rejection);
   if (is_change) {
     Touch(record);
   }
   return is_change;
 }
 
+auto backend_registry::ObserveRejection(const backend_name& id,
+                                        std::uint64_t start_time_ms,
+                                        mono_time now) -> bool {
+  const auto found = records_.find(id);
+  if (found == records_.end() ||
+      found->second.status.start_time_ms != start_time_ms ||
+      !found->second.limit.max_rejections ||
+      now - found->second.limit.last_rejection < kRejectionInterval) {
+    return false;
+  }
+  found->second.limit.last_rejection = now;
+  Touch(found->second);
+  return true;
+}
+
 auto backend_registry::ObserveLeaving(const backend_name& id,
                                       std::uint64_t start_time_ms) -> bool {
   const auto found = records_.find(id);
--- a/core/backend_registry.h
+++ b/core/backend_registry.h
@@ -53,6 +53,11 @@
   // Gives a record of this registry the next revision.
   auto Touch(backend_record& record) -> void;
 
+  // Returns what a server that has just started is taken to say of its requests
+  // until it answers. `former` is what its former start said.
+  auto PresumeLimit(const backend_status& status,
+                    const request_limit& former,
+                    mono_time now) const -> request_limit;
   auto MergeDeparture(const backend_record& record) -> bool;
   auto MergeSuspicion(const backend_record& record) -> bool;
   auto IsNewer(const backend_record& current,
@@ -77,6 +82,11 @@
   auto ObserveLimit(const backend_name& id,
                     std::uint64_t start_time_ms,
                     const request_limit& limit) -> bool;
+  // Records that a start of a server turned requests away. Returns true if the
+  // other daemons should learn of it.
+  auto ObserveRejection(const backend_name& id,
+                        std::uint64_t start_time_ms,
+                        mono_time now) -> bool;
   // Records that a start of a server said in an answer that it is about to
   // stop. Returns true if that was not known.
   auto ObserveLeaving(const backend_name& id, std::uint64_t start_time_ms)
--- a/core/permit_report.h
+++ b/core/permit_report.h
@@ -20,6 +20,17 @@
   std::uint32_t waiting = 0;   // requests that wait for a permit
   std::uint32_t expected = 0;  // further requests that may arrive soon
   std::uint32_t returned = 0;  // permits that were not used in time
+  // Of a server that falls over above a number of rejections:
+  std::uint32_t held = 0;      // requests in flight there, and unused permits
+  std::uint32_t rejected = 0;  // requests that it turned away
+};
+
+// A run of a backend server and the limit that it has.
+struct limited_server {
+  backend_name id;
+  std::uint64_t start_time_ms = 0;
+  std::uint32_t slots = 0;  // requests that it runs at once
+  request_limit limit;
 };
 
 // Numbers of permits by backend server.
--- a/core/request_limit.cc
+++ b/core/request_limit.cc
@@ -5,6 +5,17 @@
 
 namespace ebony {
 
+auto IsLimited(const request_limit& limit) -> bool {
+  return limit.rate || limit.max_rejections;
+}
+
+auto IsSameStatement(const request_limit& left, const request_limit& right)
+    -> bool {
+  return left.rate == right.rate &&
+         left.max_rejections == right.max_rejections &&
+         left.is_presumed == right.is_presumed;
+}
+
 auto GetRequestInterval(request_rate rate) -> duration {
   constexpr duration kThousandSeconds = std::chrono::seconds(1000);
   constexpr std::uint64_t kMinRate = 100;
--- a/core/request_limit.h
+++ b/core/request_limit.h
@@ -15,13 +15,28 @@
 // Rejections in a second.
 using rejection_count = strong_type<struct rejection_count_tag, std::uint32_t>;
 
-// What a backend server said last about the rate of requests that it accepts
-// from all gateways together.
+// What a backend server said last about the requests that it accepts from all
+// gateways together.
 struct request_limit {
   std::optional<request_rate> rate;  // std::nullopt: any rate
   mono_time observed;                // arrival of the answer that said so
+  // Set for a server that falls over above this number of rejections in a
+  // second. It gets no more requests at once than it has slots.
+  std::optional<rejection_count> max_rejections = std::nullopt;
+  // The server has just started and has not answered yet; the others of its
+  // service say so.
+  bool is_presumed = false;
+  // When the server last turned a request away, as far as is known.
+  mono_time last_rejection = mono_time();
 };
 
+// Returns whether the requests to the server are limited at all.
+auto IsLimited(const request_limit& limit) -> bool;
+
+// Returns whether two statements say the same, whenever they were made.
+auto IsSameStatement(const request_limit& left, const request_limit& right)
+    -> bool;
+
 // Returns the mean time between two requests at `rate`. A rate below one
 // request in 10 s counts as that much: only an answer shows that a limit is
 // over.
--- a/entry/router.cc
+++ b/entry/router.cc
@@ -165,7 +165,7 @@
     }
     has_usable = true;
     const auto has_permit =
-        permits_.GetSource(backend->name, backend->run.get(), now) !=
+        permits_.GetSource(backend->name, backend->run.get(), false, now) !=
         permit_source::none;
     const auto is_paused =
         pauses_.GetTimeLeft(backend->name, backend->run.get(), now) >
@@ -189,7 +189,9 @@
                     std::uint64_t prefix_hash,
                     mono_time now) -> void {
   ++GetLoad(backend).own_requests;
-  permits_.OnSent(backend.name, backend.run.get(), now);
+  const auto source =
+      permits_.GetSource(backend.name, backend.run.get(), false, now);
+  permits_.OnSent(backend.name, backend.run.get(), source, now);
   pauses_.OnSent(backend.name, backend.run.get(), now);
   if (prefix_hash != 0 &&
       (prefixes_.size() < kMaxPrefixHints || prefixes_.contains(prefix_hash))) {
--- a/entry/server_permits.h
+++ b/entry/server_permits.h
@@ -17,10 +17,11 @@
 
 // Why a request may be sent to a server, or that it may not.
 enum class permit_source {
-  unlimited,  // the server names no limit
-  granted,    // a permit of the coordinators
-  own_share,  // this gateway's share of the limit, without a coordinator
-  none,       // the request may not be sent now
+  unlimited,   // the server names no limit
+  granted,     // a permit of the coordinators
+  spare_room,  // most of the server's slots are free
+  own_share,   // this gateway's share of the limit, without a coordinator
+  none,        // the request may not be sent now
 };
 
 // Returns the name used in log lines.
@@ -43,6 +44,9 @@
 // request needs one of the permits that they grant. Without them the gateway
 // uses an equal share of the limit, so that a model whose only server is
 // limited stays reachable.
+// For a server that falls over when it has to reject many requests, a permit is
+// one of its slots. When a request there ends, the gateway may use the slot for
+// another one, or hands it back with the next report.
 class server_permits {
  public:
   // Returns a number in [0, bound).
@@ -61,6 +65,10 @@
     double request_rate = 0;
     mono_time rate_updated;
     std::optional<mono_time> next_own;  // of the own share
+    mono_time last_rejection;
+    std::uint32_t rejected = 0;  // since the last report
+    std::uint32_t reported_held = 0;
+    bool has_unreadable_word = false;
   };
 
   server_permits_options options_;
@@ -75,15 +83,27 @@
       -> server_state&;
   auto FindLimited(const backend_name& id, std::uint64_t start_time_ms)
       -> server_state*;
+  auto FindLimited(const backend_name& id, std::uint64_t start_time_ms) const
+      -> const server_state*;
   auto DropExpired(server_state& server, mono_time now) -> void;
+  static auto AddPermit(server_state& server, mono_time expires) -> void;
+  static auto GetLastRejection(const server_state& server) -> mono_time;
   auto CountRequest(server_state& server, mono_time now) -> void;
   auto GetOwnInterval(const server_state& server) const -> duration;
   auto IsOwnShareDue(server_state& server, mono_time now) -> bool;
   auto GetExpected(server_state& server, mono_time now) const -> std::uint32_t;
 
  public:
+  // Returns the requests in flight at a server.
+  using in_flight_source = std::function<std::uint32_t(const backend_name&)>;
+
   // Time within which a permit has to be used.
   static constexpr duration kPermitLifetime = std::chrono::milliseconds(300);
+  // The same for a slot, which others may wait for.
+  static constexpr duration kSlotLifetime = std::chrono::milliseconds(60);
+  // Time after a rejection in which nothing is sent on the strength of spare
+  // room, and in which a server that ends has fallen for want of room.
+  static constexpr duration kRejectionMemory = std::chrono::milliseconds(1500);
   // Without an answer for this long, the coordinators are out of contact.
   static constexpr duration kContactTimeout = std::chrono::milliseconds(1200);
 
@@ -93,8 +113,11 @@
   // `start_time_ms` identifies the server's run. Returns true if that is new.
   auto OnAnswer(const backend_name& id,
                 std::uint64_t start_time_ms,
-                std::optional<request_rate> rate,
-                mono_time now) -> bool;
+                const request_limit& limit) -> bool;
+  // Records that an answer's number of rejections could not be read. Returns
+  // true if it is the first of this run.
+  auto OnUnreadable(const backend_name& id, std::uint64_t start_time_ms)
+      -> bool;
   // Takes what the coordinators say of a server's limit.
   auto OnAnnounced(const backend_name& id,
                    std::uint64_t start_time_ms,
@@ -109,14 +132,39 @@
     gateway_count_ = count > 0 ? count : 1;
   }
 
+  // Returns the limit of this run of a server, as last heard here or from
+  // others.
+  auto GetLimit(const backend_name& id, std::uint64_t start_time_ms) const
+      -> request_limit;
+  // Returns true if requests to this run of a server are limited by its slots.
+  auto HasSlotLimit(const backend_name& id, std::uint64_t start_time_ms) const
+      -> bool;
   // Returns on what grounds a request may be sent to this run of a server now.
+  // `has_spare_room`: most of its slots are free, as far as is known here.
   auto GetSource(const backend_name& id,
                  std::uint64_t start_time_ms,
+                 bool has_spare_room,
                  mono_time now) -> permit_source;
   // Uses up the permit that `GetSource` returned.
   auto OnSent(const backend_name& id,
               std::uint64_t start_time_ms,
+              permit_source source,
               mono_time now) -> void;
+  // A request at this run of a server has ended. If nobody else needs its slot,
+  // `keeps_slot`, another request may be sent.
+  auto OnEnded(const backend_name& id,
+               std::uint64_t start_time_ms,
+               bool keeps_slot,
+               mono_time now) -> void;
+  // The server has turned a request away for want of room.
+  auto OnRejected(const backend_name& id,
+                  std::uint64_t start_time_ms,
+                  mono_time now) -> void;
+  // Returns true if a run that has just ended had turned requests away, and had
+  // said that it falls over if it has to reject many.
+  auto HasFallenForWantOfRoom(const backend_name& id,
+                              std::uint64_t start_time_ms,
+                              mono_time now) const -> bool;
   // Gives the permit of the latest request back: no byte of it left.
   auto OnNotSent(const backend_name& id, mono_time now) -> void;
   // Records a request that another server got, since there was no permit.
@@ -126,7 +174,8 @@
   auto RemoveWaiting(const std::vector<backend_name>& servers) -> void;
 
   // Returns what the coordinators should know, and clears the counts in it.
-  auto TakeReports(mono_time now) -> std::vector<permit_report>;
+  auto TakeReports(const in_flight_source& get_in_flight, mono_time now)
+      -> std::vector<permit_report>;
   // Returns the limits of all servers as last heard here or from others, and
   // those that ended within `max_age`.
   auto ListLimits(duration max_age, mono_time now) const
--- a/entry/server_selector.cc
+++ b/entry/server_selector.cc
@@ -118,7 +118,11 @@
 auto server_selector::HasCapacity(const backend_status& status,
                                   const server_query& query,
                                   mono_time now) -> bool {
-  if (IsFull(status.id, now) || GetFreeCapacity(status, query, now) < 1) {
+  // Permits say whether a server that is limited by its slots has one free.
+  const auto counts_permits =
+      permits_.HasSlotLimit(status.id, status.start_time_ms);
+  if (IsFull(status.id, now) ||
+      (!counts_permits && GetFreeCapacity(status, query, now) < 1)) {
     return false;
   }
   const auto load = GetLoad(status.id, now);
@@ -126,6 +130,30 @@
          load.tokens + query.prompt_tokens <= options_.max_prefill_tokens;
 }
 
+auto server_selector::GetPermit(const backend_status& status, mono_time now)
+    -> permit_source {
+  const auto requests = GetLoad(status.id, now).requests;
+  const auto has_spare_room =
+      requests + 1 <= options_.spare_room_fraction * status.slots;
+  return permits_.GetSource(status.id, status.start_time_ms, has_spare_room,
+                            now);
+}
+
+auto server_selector::HasFreeSlot(const backend_name& id, mono_time now)
+    -> bool {
+  const auto* record = registry_.Find(id);
+  return record != nullptr &&
+         GetLoad(id, now).requests + 1 <= record->status.slots;
+}
+
+auto server_selector::GetOwnRequests(const backend_name& id) const
+    -> std::uint32_t {
+  const auto found = states_.find(id);
+  return found == states_.end()
+             ? 0
+             : static_cast<std::uint32_t>(found->second.own.requests);
+}
+
 auto server_selector::RemoveEjected(
     std::vector<const backend_record*>& candidates,
     mono_time now) -> void {
@@ -147,13 +175,10 @@
     mono_time now) -> std::vector<backend_name> {
   auto removed = std::vector<backend_name>();
   std::erase_if(candidates, [&](const backend_record* record) {
-    const auto& status = record->status;
-    const auto source =
-        permits_.GetSource(status.id, status.start_time_ms, now);
-    if (source != permit_source::none) {
+    if (GetPermit(record->status, now) != permit_source::none) {
       return false;
     }
-    removed.push_back(status.id);
+    removed.push_back(record->status.id);
     return true;
   });
   return removed;
@@ -163,14 +188,19 @@
     const std::vector<const backend_record*>& candidates,
     const server_query& query,
     mono_time now) -> const backend_status* {
+  // One for which there is a permit may look full here.
+  constexpr double kMinCapacity = 0.1;
+  const auto get_capacity = [&](const backend_record* record) {
+    return std::max(kMinCapacity, GetFreeCapacity(record->status, query, now));
+  };
   auto capacity = 0.0;
   for (const auto* record : candidates) {
-    capacity += GetFreeCapacity(record->status, query, now);
+    capacity += get_capacity(record);
   }
   auto threshold =
       capacity * static_cast<double>(random_(kRandomSteps)) / kRandomSteps;
   for (const auto* record : candidates) {
-    threshold -= GetFreeCapacity(record->status, query, now);
+    threshold -= get_capacity(record);
     if (threshold < 0) {
       return &record->status;
     }
@@ -243,10 +273,12 @@
     (record.is_suspected ? suspected : candidates).push_back(&record);
   }
   if (candidates.empty() && has_unreachable && !query.ignores_closed_paths) {
-    return {server_verdict::no_path, nullptr, {}, duration(0)};
+    return {server_verdict::no_path};
   }
   if (candidates.empty() && suspected.empty() && pause_left) {
-    return {server_verdict::paused, nullptr, {}, *pause_left};
+    auto choice = server_choice{server_verdict::paused};
+    choice.pause_left = *pause_left;
+    return choice;
   }
   if (candidates.empty()) {
     // Suspected servers are used only as a last resort.
@@ -256,7 +288,7 @@
     const auto verdict = has_version  ? server_verdict::no_replica
                          : has_server ? server_verdict::no_version
                                       : server_verdict::no_server;
-    return {verdict, nullptr, {}, duration(0)};
+    return {verdict};
   }
   RemoveEjected(candidates, now);
   std::erase_if(candidates, [&](const backend_record* record) {
@@ -264,8 +296,9 @@
   });
   auto without_permit = RemoveWithoutPermit(candidates, now);
   if (candidates.empty()) {
-    return {server_verdict::busy, nullptr, std::move(without_permit),
-            duration(0)};
+    auto choice = server_choice{server_verdict::busy};
+    choice.without_permit = std::move(without_permit);
+    return choice;
   }
   const auto by_capacity =
       query.is_engine &&
@@ -273,8 +306,12 @@
   const auto* server =
       by_capacity ? ChooseByCapacity(candidates, query, now)
                   : ChooseLeastLoaded(candidates, query.is_engine, now);
-  return {server_verdict::chosen, server, std::move(without_permit),
-          duration(0)};
+  auto choice = server_choice();
+  choice.verdict = server_verdict::chosen;
+  choice.server = server;
+  choice.permit = GetPermit(*server, now);
+  choice.without_permit = std::move(without_permit);
+  return choice;
 }
 
 auto server_selector::OnStarted(const backend_name& id, double tokens) -> void {
--- a/entry/server_selector.h
+++ b/entry/server_selector.h
@@ -52,6 +52,9 @@
   std::size_t max_gateways_for_least_loaded = 24;
   // Half-life of the load of the other gateways, from the last exchange.
   duration remote_load_half_life = std::chrono::milliseconds(1000);
+  // A server that is limited by its slots has spare room up to this fraction of
+  // them.
+  double spare_room_fraction = 0.5;
 };
 
 // Requirements of the request to send.
@@ -87,9 +90,10 @@
 
 struct server_choice {
   server_verdict verdict = server_verdict::no_server;
-  const backend_status* server = nullptr;  // set for `chosen`
+  const backend_status* server = nullptr;           // set for `chosen`
+  permit_source permit = permit_source::unlimited;  // of that server
   // Servers that could execute the request, but for a permit.
-  std::vector<backend_name> without_permit;
+  std::vector<backend_name> without_permit = {};
   // Set for `paused`: until the first of the servers may get a request.
   duration pause_left{0};
 };
@@ -157,6 +161,7 @@
                         mono_time now) -> const backend_status*;
   auto IsUnreachable(const backend_status& status, mono_time now) -> bool;
   auto IsFull(const backend_name& id, mono_time now) -> bool;
+  auto GetPermit(const backend_status& status, mono_time now) -> permit_source;
   // Removes the candidates that no request may be sent to for lack of a permit,
   // and returns their names.
   auto RemoveWithoutPermit(std::vector<const backend_record*>& candidates,
@@ -189,6 +194,11 @@
   // about as long as a slot takes to become free, twice as long each time in a
   // row, and at random, so that the gateways do not come back together.
   auto OnFull(const backend_name& id, mono_time now) -> duration;
+  // Returns true if not all slots of the server are in use, as far as is known
+  // here.
+  auto HasFreeSlot(const backend_name& id, mono_time now) -> bool;
+  // Returns the requests in flight from this gateway.
+  auto GetOwnRequests(const backend_name& id) const -> std::uint32_t;
   // Returns true when the failure ejects the server.
   auto OnFailed(const backend_name& id, mono_time now) -> bool;
   // Records that no connection to the server could be made. Excludes it for a
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -164,13 +164,23 @@
         report.news &&
         registry_.ObserveLimit(report.id, report.start_time_ms, *report.news);
     if (is_change) {
-      const auto rate = report.news->rate;
       metrics_.Count("ebony_limit_changes_total");
-      log_.Write(event_category::state, "limit_named",
+      log_.Write(
+          event_category::state, "limit_named",
+          {{"backend", report.id.get()},
+           {"per_1000_s", GetRateField(report.news->rate)},
+           {"max_rejections", GetRejectionField(report.news->max_rejections)},
+           {"reporter", request.vm()},
+           {"age_ms", duration(now - report.news->observed)}});
+    }
+  }
+  for (const auto& report : reports) {
+    if (report.rejected > 0 &&
+        registry_.ObserveRejection(report.id, report.start_time_ms, now)) {
+      log_.Write(event_category::state, "server_full",
                  {{"backend", report.id.get()},
-                  {"per_1000_s", GetRateField(rate)},
-                  {"reporter", request.vm()},
-                  {"age_ms", duration(now - report.news->observed)}});
+                  {"rejected", static_cast<std::int64_t>(report.rejected)},
+                  {"reporter", request.vm()}});
     }
   }
   UpdateLimits();
@@ -186,8 +196,11 @@
   limits_revision_ = registry_.get_revision();
   const auto now = loop_.get_now();
   for (const auto* record : registry_.ListSince(0)) {
-    const auto rate = record->has_left ? std::nullopt : record->limit.rate;
-    permit_allocator_.SetLimit(record->status.id, rate, now);
+    const auto& status = record->status;
+    permit_allocator_.SetLimit(
+        {status.id, status.start_time_ms, status.slots,
+         record->has_left ? request_limit() : record->limit},
+        now);
   }
 }
 
--- a/main/entry_daemon.cc
+++ b/main/entry_daemon.cc
@@ -456,8 +456,8 @@
     return;
   }
   auto& permits = router_.get_permits();
-  if (permits.OnAnswer(item.backend, backend->run.get(), item.statement.rate,
-                       GetNow())) {
+  if (permits.OnAnswer(item.backend, backend->run.get(),
+                       {item.statement.rate, GetNow()})) {
     metrics_.Count("ebony_limit_changes_total");
     LogEvent(
         log_level::info, "limit_named",
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -165,7 +165,10 @@
   permits_.Prune(is_known);
   pauses_.Prune(is_known);
   metrics_.Set("ebony_paused_servers", static_cast<double>(pauses_.get_size()));
-  for (const auto& report : permits_.TakeReports(now)) {
+  const auto get_in_flight = [this](const backend_name& id) {
+    return selector_.GetOwnRequests(id);
+  };
+  for (const auto& report : permits_.TakeReports(get_in_flight, now)) {
     AddPermitRequest(request, report, registry_.get_index(), now);
   }
   const auto streams = origins_.TakeReport(now);
@@ -239,16 +242,19 @@
 auto gateway_daemon::OnBackendChanged(const backend_record& record,
                                       mono_time now) -> void {
   const auto& status = record.status;
-  log_.Write(event_category::state, "backend_known",
-             {{"backend", status.id.get()},
-              {"address", status.address.get()},
-              {"software", status.software.get()},
-              {"leaving", status.is_leaving ? "yes" : "no"},
-              {"gone", record.has_left ? "yes" : "no"},
-              {"suspected", record.is_suspected ? "yes" : "no"},
-              {"limit", GetRateField(record.limit.rate)},
-              {"sequence", static_cast<std::int64_t>(status.sequence)},
-              {"age_ms", duration(now - record.last_seen)}});
+  log_.Write(
+      event_category::state, "backend_known",
+      {{"backend", status.id.get()},
+       {"address", status.address.get()},
+       {"software", status.software.get()},
+       {"leaving", status.is_leaving ? "yes" : "no"},
+       {"gone", record.has_left ? "yes" : "no"},
+       {"suspected", record.is_suspected ? "yes" : "no"},
+       {"limit", GetRateField(record.limit.rate)},
+       {"max_rejections", GetRejectionField(record.limit.max_rejections)},
+       {"presumed", record.limit.is_presumed ? "yes" : "no"},
+       {"sequence", static_cast<std::int64_t>(status.sequence)},
+       {"age_ms", duration(now - record.last_seen)}});
   if (status.service != service_name()) {
     software_.Observe(status.service, status.software, now);
   }
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -148,7 +148,7 @@
     for (const auto& id : choice.without_permit) {
       context_.permits.OnPassedOver(id, now);
     }
-    Dispatch(*choice.server);
+    Dispatch(*choice.server, choice.permit);
     return;
   }
   if (choice.verdict == server_verdict::no_path) {
@@ -165,7 +165,8 @@
   }
 }
 
-auto proxy_session::Dispatch(const backend_status& server) -> void {
+auto proxy_session::Dispatch(const backend_status& server, permit_source permit)
+    -> void {
   const auto now = context_.loop.get_now();
   ++attempts_;
   peer_ = vm_name();
@@ -183,9 +184,7 @@
   found_requests_ = requests;
   found_idle_server_ = requests <= kMaxRequestsOfIdleServer;
   found_free_slots_ = requests <= kMaxUncongestedLoad * server.slots;
-  const auto permit =
-      context_.permits.GetSource(server_, server_start_time_ms_, now);
-  context_.permits.OnSent(server_, server_start_time_ms_, now);
+  context_.permits.OnSent(server_, server_start_time_ms_, permit, now);
   context_.pauses.OnSent(server_, server_start_time_ms_, now);
   context_.selector.OnStarted(server_, prefill_tokens_);
   context_.waits.OnSent(GetQueueKey(), now);
@@ -403,6 +402,7 @@
                             std::to_string(server_answer_.status) + "\"}");
     RecordFullServer();
   }
+  RecordSlot(outcome);
   auto summary = attempt_summary();
   summary.outcome = outcome;
   summary.answer = server_answer_;
@@ -476,10 +476,28 @@
   }
 }
 
+auto proxy_session::RecordSlot(attempt_outcome outcome) -> void {
+  if (!IsDirect()) {
+    return;
+  }
+  const auto now = context_.loop.get_now();
+  const auto is_rejection = outcome == attempt_outcome::not_run &&
+                            server_answer_.status == kUnavailable &&
+                            !server_answer_.retry_after;
+  if (is_rejection) {
+    context_.permits.OnRejected(server_, server_start_time_ms_, now);
+  } else if (outcome == attempt_outcome::complete) {
+    context_.permits.OnEnded(server_, server_start_time_ms_,
+                             context_.selector.HasFreeSlot(server_, now), now);
+  }
+}
+
 // An engine without room is asked again once a slot may be free, rather than
 // left to the caller to try: it may be the only one with the model.
 auto proxy_session::RecordFullServer() -> void {
-  const auto is_full = IsDirect() && IsEngine() &&
+  const auto is_counted = IsEngine() || context_.permits.HasSlotLimit(
+                                            server_, server_start_time_ms_);
+  const auto is_full = IsDirect() && is_counted &&
                        server_answer_.status == kUnavailable &&
                        !server_answer_.retry_after;
   if (!is_full) {
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -204,6 +204,11 @@
   auto RecordRun() -> void;
   // Records that the server crashed while it may have begun the attempt.
   auto RecordCrash(const attempt_evidence& evidence, server_run run) -> void;
+  // A server has ended while it may have begun the attempt.
+  auto OnServerEnded(const attempt_evidence& evidence, server_run run) -> void;
+  // Returns true if the server has ended since it had to reject too much.
+  auto HasFallenForWantOfRoom(const backend_name& server,
+                              std::uint64_t start_time_ms) -> bool;
   // Finds out whether the server has crashed, and records it.
   auto CheckForCrash(std::function<void()> on_done) -> void;
   auto GetCallerTimeout() const -> duration;
@@ -221,7 +226,7 @@
   auto TryEnqueue(int rank, duration limit) -> bool;
   auto AwaitPermits(std::vector<backend_name> servers) -> void;
   auto LeaveQueue() -> void;
-  auto Dispatch(const backend_status& server) -> void;
+  auto Dispatch(const backend_status& server, permit_source permit) -> void;
   auto MakeHooks() -> call_hooks;
   // A new connection to the server was made.
   auto OnConnected() -> void;
@@ -235,6 +240,9 @@
   auto RecordPause(const server_answer& answer) -> void;
   // Records what an answer says of the server's limit of requests.
   auto RecordLimit(const server_answer& answer) -> void;
+  auto ReportUnreadableLimit(const server_answer& answer) -> void;
+  // Records at a server that is limited by its slots how an attempt has ended.
+  auto RecordSlot(attempt_outcome outcome) -> void;
   auto OnBody(std::string_view bytes) -> void;
   // Buffers a part of an answer that is not forwarded as it arrives. Gives the
   // attempt up if the answers that are buffered grow too large.
--- a/main/proxy_session_answer.cc
+++ b/main/proxy_session_answer.cc
@@ -136,24 +136,47 @@
   if (is_other_server) {
     return;
   }
+  ReportUnreadableLimit(answer);
+  const auto has_rate =
+      answer.limit || (is_success && !answer.has_unreadable_limit);
+  const auto has_rejections =
+      answer.max_rejections ||
+      (is_success && !answer.has_unreadable_max_rejections);
+  if (!has_rate && !has_rejections) {
+    return;
+  }
+  auto limit = context_.permits.GetLimit(server_, server_start_time_ms_);
+  limit.rate = has_rate ? answer.limit : limit.rate;
+  limit.max_rejections =
+      has_rejections ? answer.max_rejections : limit.max_rejections;
+  limit.is_presumed = false;
+  limit.observed = context_.loop.get_now();
+  if (context_.permits.OnAnswer(server_, server_start_time_ms_, limit)) {
+    context_.counters.Count("ebony_limit_changes_total");
+    context_.log.Write(
+        event_category::state, "limit_named",
+        {{"request", metadata_.id.get()},
+         {"backend", server_.get()},
+         {"per_1000_s", GetRateField(limit.rate)},
+         {"max_rejections", GetRejectionField(limit.max_rejections)}});
+  }
+}
+
+auto proxy_session::ReportUnreadableLimit(const server_answer& answer) -> void {
   if (answer.has_unreadable_limit) {
     context_.counters.Count("ebony_unreadable_limits_total");
     context_.log.Write(
         event_category::request, "limit_unreadable",
         {{"request", metadata_.id.get()}, {"backend", server_.get()}});
-    return;
   }
-  if (!answer.limit && !is_success) {
+  if (!answer.has_unreadable_max_rejections) {
     return;
   }
-  const auto is_change = context_.permits.OnAnswer(
-      server_, server_start_time_ms_, answer.limit, context_.loop.get_now());
-  if (is_change) {
-    context_.counters.Count("ebony_limit_changes_total");
-    context_.log.Write(event_category::state, "limit_named",
-                       {{"request", metadata_.id.get()},
-                        {"backend", server_.get()},
-                        {"per_1000_s", GetRateField(answer.limit)}});
+  context_.counters.Count("ebony_unreadable_max_rejections_total");
+  if (context_.permits.OnUnreadable(server_, server_start_time_ms_)) {
+    context_.log.Write(
+        event_category::state, "max_rejections_unreadable",
+        {{"request", metadata_.id.get()}, {"backend", server_.get()}});
   }
 }
 
--- a/main/proxy_session_guard.cc
+++ b/main/proxy_session_guard.cc
@@ -7,6 +7,13 @@
 
 namespace ebony {
 
+namespace {
+
+// Time after which the leader has told what other gateways saw of a server.
+constexpr duration kReportDelay = std::chrono::milliseconds(600);
+
+}  // namespace
+
 auto proxy_session::PassesGuard() -> bool {
   const auto decision =
       context_.guard.Check(suspects_, context_.loop.get_now());
@@ -89,6 +96,41 @@
   }
 }
 
+auto proxy_session::HasFallenForWantOfRoom(const backend_name& server,
+                                           std::uint64_t start_time_ms)
+    -> bool {
+  const auto now = context_.loop.get_now();
+  const auto has_fallen =
+      context_.permits.HasFallenForWantOfRoom(server, start_time_ms, now);
+  if (has_fallen) {
+    context_.counters.Count("ebony_fallen_servers_total");
+    context_.log.Write(
+        event_category::state, "fell_for_want_of_room",
+        {{"request", metadata_.id.get()}, {"backend", server.get()}});
+  }
+  return has_fallen;
+}
+
+// A server that falls over when it has to reject many requests may have
+// rejected those of other gateways, whose reports take a moment.
+auto proxy_session::OnServerEnded(const attempt_evidence& evidence,
+                                  server_run run) -> void {
+  if (!context_.permits.HasSlotLimit(server_, server_start_time_ms_)) {
+    RecordCrash(evidence, run);
+    return;
+  }
+  if (HasFallenForWantOfRoom(server_, server_start_time_ms_)) {
+    return;
+  }
+  context_.loop.AddTimerIn(
+      kReportDelay, [self = shared_from_this(), evidence, run, server = server_,
+                     start = server_start_time_ms_] {
+        if (!self->HasFallenForWantOfRoom(server, start)) {
+          self->RecordCrash(evidence, run);
+        }
+      });
+}
+
 auto proxy_session::CheckForCrash(std::function<void()> on_done) -> void {
   const auto run = GetServerRun();
   context_.verifier.Verify(
@@ -97,7 +139,7 @@
        evidence = std::exchange(evidence_, attempt_evidence()),
        on_done = std::move(on_done)](bool has_ended) mutable {
         if (has_ended) {
-          self->RecordCrash(evidence, run);
+          self->OnServerEnded(evidence, run);
         }
         self->context_.guard.EndTrial(evidence);
         on_done();
--- a/tests/entry_limit_test.cc
+++ b/tests/entry_limit_test.cc
@@ -67,7 +67,7 @@
     const auto other = MakeServer("other");
     const auto start = mono_time(std::chrono::hours(1));
     item.get_permits().SetGatewayCount(entries);
-    item.get_permits().OnAnswer(limited.name, kRun, kRate, start);
+    item.get_permits().OnAnswer(limited.name, kRun, {kRate, start});
     constexpr auto kSeconds = 80;
     const auto count = CountSent(item, {&limited, &other}, limited,
                                  std::chrono::seconds(kSeconds));
@@ -91,7 +91,7 @@
   auto item = router({}, MakeRandom());
   auto server = MakeServer("restarted");
   const auto start = mono_time(std::chrono::hours(1));
-  item.get_permits().OnAnswer(server.name, kRun, kRate, start);
+  item.get_permits().OnAnswer(server.name, kRun, {kRate, start});
   server.run = incarnation(kRun + 1);
   const auto count =
       CountSent(item, {&server}, server, std::chrono::seconds(1));
--- a/tests/limit_harness.cc
+++ b/tests/limit_harness.cc
@@ -13,6 +13,9 @@
 constexpr auto kRelayInterval = milliseconds(100);
 constexpr auto kStartTimeMs = std::uint64_t{1};
 
+// Only servers that are limited by their slots ask.
+const auto kNoneInFlight = [](const backend_name&) { return 0U; };
+
 auto ToRate(double per_second) -> request_rate {
   return request_rate(static_cast<std::uint64_t>(per_second * 1000));
 }
@@ -49,7 +52,7 @@
 auto limit_site::LearnLimit(const permit_report& report) -> void {
   if (report.news && report.news->observed > registered_.observed) {
     registered_ = *report.news;
-    leader_.SetLimit(kServer, registered_.rate, now_);
+    leader_.SetLimit({kServer, kStartTimeMs, 1, registered_}, now_);
   }
 }
 
@@ -61,7 +64,7 @@
 }
 
 auto limit_site::SyncWithLeader(gateway& item, std::size_t number) -> void {
-  const auto reports = item.permits->TakeReports(now_);
+  const auto reports = item.permits->TakeReports(kNoneInFlight, now_);
   if (!has_leader_ || item.is_cut) {
     return;
   }
@@ -84,7 +87,7 @@
 
 auto limit_site::SyncWithRelay(gateway& item, std::size_t number) -> void {
   auto& relay = relays_[number % relays_.size()];
-  const auto reports = item.permits->TakeReports(now_);
+  const auto reports = item.permits->TakeReports(kNoneInFlight, now_);
   if (!has_leader_ || item.is_cut) {
     return;
   }
@@ -117,16 +120,19 @@
     item.permits->RemoveWaiting({kServer});
   }
   while (!item.queue.empty()) {
-    if (item.permits->GetSource(kServer, kStartTimeMs, now_) ==
-        permit_source::none) {
+    const auto source =
+        item.permits->GetSource(kServer, kStartTimeMs, false, now_);
+    if (source == permit_source::none) {
       return;
     }
-    item.permits->OnSent(kServer, kStartTimeMs, now_);
+    item.permits->OnSent(kServer, kStartTimeMs, source, now_);
     item.queue.pop_front();
     item.permits->RemoveWaiting({kServer});
     sent_.push_back(now_);
-    const auto rate = named_ ? std::optional(ToRate(*named_)) : std::nullopt;
-    item.permits->OnAnswer(kServer, kStartTimeMs, rate, now_);
+    auto limit = request_limit();
+    limit.rate = named_ ? std::optional(ToRate(*named_)) : std::nullopt;
+    limit.observed = now_;
+    item.permits->OnAnswer(kServer, kStartTimeMs, limit);
   }
 }
 
@@ -168,7 +174,7 @@
   has_leader_ = true;
   leader_ = permit_allocator();
   leader_.Restart(now_);
-  leader_.SetLimit(kServer, registered_.rate, now_);
+  leader_.SetLimit({kServer, kStartTimeMs, 1, registered_}, now_);
 }
 
 auto limit_site::RestartGateway(std::size_t number) -> void {
--- a/tools/ebony_bench.cc
+++ b/tools/ebony_bench.cc
@@ -314,7 +314,10 @@
     for (auto i = 0U; i < servers; ++i) {
       reports[i].id = backend_name("server-" + std::to_string(i));
       reports[i].waiting = 1;
-      allocator.SetLimit(reports[i].id, request_rate(1600), now);
+      auto limited = limited_server();
+      limited.id = reports[i].id;
+      limited.limit.rate = request_rate(1600);
+      allocator.SetLimit(limited, now);
       for (auto daemon = 0; daemon < 7; ++daemon) {
         allocator.Request(vm_name("d" + std::to_string(daemon)), reports[i],
                           now);
