--- a/entry/wait_estimator.cc
+++ b/entry/wait_estimator.cc
@@ -11,6 +11,8 @@
 constexpr double kWindowSeconds = 1.0;
 // Requests sent within the window below which the rate is not used.
 constexpr double kMinRate = 2.0;
+// Arrivals over requests sent above which the difference is not by chance.
+constexpr double kOverload = 1.15;
 
 auto ToSeconds(duration value) -> double {
   return std::chrono::duration<double>(value).count();
@@ -18,16 +20,22 @@
 
 }  // namespace
 
-auto wait_estimator::GetRate(const queue_state& state, mono_time now) const
-    -> double {
-  const auto elapsed = std::max(0.0, ToSeconds(now - state.updated));
-  return state.sent_rate * std::exp(-elapsed / kWindowSeconds);
+auto wait_estimator::smoothed_rate::Get(mono_time now) const -> double {
+  const auto elapsed = std::max(0.0, ToSeconds(now - updated_));
+  return value_ * std::exp(-elapsed / kWindowSeconds);
+}
+
+auto wait_estimator::smoothed_rate::Count(mono_time now) -> void {
+  value_ = Get(now) + 1 / kWindowSeconds;
+  updated_ = now;
+}
+
+auto wait_estimator::OnArrived(const queue_key& key, mono_time now) -> void {
+  queues_[key].arrived.Count(now);
 }
 
 auto wait_estimator::OnSent(const queue_key& key, mono_time now) -> void {
-  auto& state = queues_[key];
-  state.sent_rate = GetRate(state, now) + 1 / kWindowSeconds;
-  state.updated = now;
+  queues_[key].sent.Count(now);
 }
 
 auto wait_estimator::OnQueued(const queue_key& key) -> void {
@@ -45,7 +53,7 @@
   if (found == queues_.end()) {
     return std::nullopt;
   }
-  const auto rate = GetRate(found->second, now);
+  const auto rate = found->second.sent.Get(now);
   if (rate < kMinRate) {
     return std::nullopt;
   }
@@ -54,4 +62,14 @@
       std::chrono::duration<double>(seconds));
 }
 
+auto wait_estimator::IsOverloaded(const queue_key& key, mono_time now) const
+    -> bool {
+  const auto found = queues_.find(key);
+  if (found == queues_.end()) {
+    return false;
+  }
+  const auto sent = found->second.sent.Get(now);
+  return sent >= kMinRate && found->second.arrived.Get(now) > kOverload * sent;
+}
+
 }  // namespace ebony
--- a/entry/wait_estimator.h
+++ b/entry/wait_estimator.h
@@ -19,17 +19,26 @@
   using queue_key = std::pair<service_name, model_name>;
 
  private:
+  // Requests per second, exponentially smoothed.
+  class smoothed_rate {
+    double value_ = 0;
+    mono_time updated_;
+
+   public:
+    auto Get(mono_time now) const -> double;
+    auto Count(mono_time now) -> void;
+  };
   struct queue_state {
-    double sent_rate = 0;  // requests per second, exponentially smoothed
-    mono_time updated;
+    smoothed_rate sent;
+    smoothed_rate arrived;
     std::size_t queued = 0;
   };
 
   std::map<queue_key, queue_state> queues_;
 
-  auto GetRate(const queue_state& state, mono_time now) const -> double;
-
  public:
+  // A caller's request has come, whether or not it has to wait.
+  auto OnArrived(const queue_key& key, mono_time now) -> void;
   auto OnSent(const queue_key& key, mono_time now) -> void;
   auto OnQueued(const queue_key& key) -> void;
   auto OnLeftQueue(const queue_key& key) -> void;
@@ -38,6 +47,9 @@
   // if too few requests were sent lately to tell.
   auto GetExpectedWait(const queue_key& key, mono_time now) const
       -> std::optional<duration>;
+  // Returns true if more requests arrive than are sent, so that nothing is left
+  // for those that have already missed their objective.
+  auto IsOverloaded(const queue_key& key, mono_time now) const -> bool;
 };
 
 }  // namespace ebony
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -82,6 +82,7 @@
     ++count.arrived;
     count.prompt_tokens += metadata_.prompt_tokens;
   }
+  context_.waits.OnArrived(GetQueueKey(), context_.loop.get_now());
   if (rule_.is_stream && context_.rejects_streams()) {
     Reject(error_kind::draining, std::chrono::milliseconds(100));
     return;
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -222,6 +222,9 @@
   auto RejectIfHopeless(duration limit) -> bool;
   auto OnQueueTimeout() -> void;
   auto EnqueueLate() -> void;
+  // Returns true if requests that will miss their objective may still be sent
+  // in time for a late answer.
+  auto CanQueueLate() const -> bool;
   // Adds the request to the queue. Returns false if the queue is full.
   auto TryEnqueue(int rank, duration limit) -> bool;
   auto AwaitPermits(std::vector<backend_name> servers) -> void;
--- a/main/proxy_session_queue.cc
+++ b/main/proxy_session_queue.cc
@@ -178,8 +178,10 @@
     Reject(GetVerdictError(reason), wait);
     return;
   }
+  const auto late_limit =
+      CanQueueLate() ? limit + GetLateQueueTimeout() : limit;
   if (reason == server_verdict::busy && !answer_->has_begun() &&
-      RejectIfHopeless(limit + GetLateQueueTimeout())) {
+      RejectIfHopeless(late_limit)) {
     return;
   }
   if (!TryEnqueue(rule_.priority, limit)) {
@@ -209,13 +211,17 @@
     return;
   }
   LeaveQueue();
-  if (!was_overdue && queue_reason_ == server_verdict::busy) {
+  if (!was_overdue && queue_reason_ == server_verdict::busy && CanQueueLate()) {
     EnqueueLate();
     return;
   }
   Reject(GetVerdictError(queue_reason_), GetOverloadWait());
 }
 
+auto proxy_session::CanQueueLate() const -> bool {
+  return !context_.waits.IsOverloaded(GetQueueKey(), context_.loop.get_now());
+}
+
 // Queues a request that will miss its objective behind all others, since a late
 // answer is better than none but must not delay requests that can be in time.
 auto proxy_session::EnqueueLate() -> void {
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -33,6 +33,7 @@
   int gateways = 2;
   int servers = 3;
   int slots = 50;  // of each server
+  int target_latency_ms = 200;
 };
 
 // Answers a request at a simulated backend server instead of the site.
--- a/tests/wait_estimator_test.cc
+++ b/tests/wait_estimator_test.cc
@@ -53,6 +53,22 @@
   BOOST_TEST(!waits.GetExpectedWait(kKey, At(5000)).has_value());
 }
 
+// Load that it answers: servers run 20 requests a second and get 30 or 20.
+BOOST_AUTO_TEST_CASE(more_arrivals_than_requests_sent_are_an_overload) {
+  for (const auto arrivals : {2, 3}) {
+    auto waits = wait_estimator();
+    for (auto ms = 0; ms <= 4000; ms += 100) {
+      for (auto i = 0; i < arrivals; ++i) {
+        waits.OnArrived(kKey, At(ms));
+      }
+      waits.OnSent(kKey, At(ms));
+      waits.OnSent(kKey, At(ms));
+    }
+    BOOST_TEST(waits.IsOverloaded(kKey, At(4000)) == (arrivals > 2));
+  }
+  BOOST_TEST(!wait_estimator().IsOverloaded(kKey, At(0)));
+}
+
 BOOST_AUTO_TEST_CASE(models_do_not_share_their_queues) {
   auto waits = wait_estimator();
   const auto other =
