--- a/tests/entry_answer_test.cc
+++ b/tests/entry_answer_test.cc
@@ -77,16 +77,15 @@
   return answer.get();
 }
 
-// Calls a server whose handler sends a stream with `send`.
-auto GetStream(const std::function<void(const exchange_pointer&)>& send)
+// Calls a server with this handler.
+auto CallHandler(const std::function<void(const exchange_pointer&)>& handler)
     -> http_response {
   auto options = http_server_options();
   options.address = host_port("127.0.0.1:0");
   auto server = http_server(
-      options, [&send](const http_request&, const exchange_pointer& exchange) {
-        exchange->StartStream(200, kEventStream);
-        exchange->Write(kFirstEvent);
-        send(exchange);
+      options,
+      [&handler](const http_request&, const exchange_pointer& exchange) {
+        handler(exchange);
       });
   server.Start();
   auto client = http_client(4);
@@ -96,6 +95,16 @@
   return CallAndWait(client, call);
 }
 
+// Calls a server whose handler sends a stream with `send`.
+auto GetStream(const std::function<void(const exchange_pointer&)>& send)
+    -> http_response {
+  return CallHandler([&send](const exchange_pointer& exchange) {
+    exchange->StartStream(200, kEventStream);
+    exchange->Write(kFirstEvent);
+    send(exchange);
+  });
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(entry_answers)
@@ -120,6 +129,46 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_whose_head_stops_is_not_used) {
+  const auto whole = std::string(
+      "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: "
+      "0\r\n\r\n");
+  for (const auto left : {1U, 2U, 3U, 12U, 20U, 30U, 47U}) {
+    for (const auto resets : {false, true}) {
+      const auto bytes = whole.substr(0, whole.size() - left);
+      const auto answer = GetAnswer(bytes, resets);
+      BOOST_TEST_CONTEXT(bytes << (resets ? ", reset" : ", closed")) {
+        BOOST_TEST((answer.end == transfer_result::interrupted));
+        BOOST_TEST(answer.status == 0);
+      }
+    }
+  }
+}
+
+// The caller has part of a stream, and would take an orderly end for its own.
+BOOST_AUTO_TEST_CASE(
+    a_started_stream_is_not_ended_by_the_error_of_another_try) {
+  for (const auto status : {429, 500, 503}) {
+    const auto answer = CallHandler([status](const exchange_pointer& exchange) {
+      auto counters = metrics();
+      auto parsed = caller_request();
+      parsed.is_stream = true;
+      const auto session = std::make_shared<caller_session>(
+          exchange, http_request(), parsed, counters, mono_time());
+      session->StartAttempt(attempt_number(1));
+      session->OnHead(attempt_number(1), 200, kEventStream);
+      session->OnData(attempt_number(1), kFirstEvent, mono_time());
+      session->OnEnd(attempt_number(1), transfer_result::interrupted);
+      session->StartAttempt(attempt_number(2));
+      session->OnHead(attempt_number(2), status, kJson);
+      session->OnData(attempt_number(2), "{}", mono_time());
+      session->OnEnd(attempt_number(2), transfer_result::completed);
+      session->Deliver(attempt_number(2));
+    });
+    BOOST_TEST((answer.end == transfer_result::interrupted), status);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_aborted_stream_does_not_look_complete) {
   const auto finished =
       GetStream([](const exchange_pointer& exchange) { exchange->Finish(); });
--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -117,6 +117,7 @@
   std::shared_ptr<stream_socket> socket;
   std::unique_ptr<http_reader> reader;
   std::string unparsed;
+  std::string repeated;                       // written before the next answer
   std::shared_ptr<received_request> request;  // being received
   // The previous request, already answered.
   std::shared_ptr<received_request> answered;
@@ -230,8 +231,11 @@
     return;
   }
   const auto script = NextScript();
+  item.socket->Send(std::exchange(item.repeated, {}));
   for (const auto& piece : script.writes) {
-    item.socket->Send(ReplaceId(piece, item.request->id));
+    const auto bytes = ReplaceId(piece, item.request->id);
+    item.socket->Send(bytes);
+    item.repeated += script.is_written_again ? bytes : "";
   }
   if (!script.filler.empty()) {
     SendEndlessly(item.socket, script.filler, script.filler_pause);
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -38,6 +38,9 @@
   std::string filler = {};
   // Time between two fillers; 0: as many as the gateway takes.
   duration filler_pause{0};
+  // The server writes `writes` once more before its next answer on the same
+  // connection.
+  bool is_written_again = false;
 };
 
 // A request as received by a scripted server.
