An earlier refusal written once more is not believed

Callers would see: not run, come back, for a request that runs. Cause: since a full engine is asked again, the same request id may go twice over one kept connection, so that the id no longer tells which of the two a refusal answers; and an answer without an id was taken for anybody's. Ruled out: refusals with the id of another request (skipped before, too). Change: a server that has refused a request gets it again on a new connection; on a used connection a refusal without an id is skipped.

--- a/drivers/http_pool.cc
+++ b/drivers/http_pool.cc
@@ -357,7 +357,9 @@
                       bool is_head_request,
                       const call_options& options,
                       call_hooks hooks) -> std::unique_ptr<pooled_call> {
-  auto connection = TakeIdle(address, options.max_idle_time);
+  auto connection = options.needs_new_connection
+                        ? nullptr
+                        : TakeIdle(address, options.max_idle_time);
   if (connection == nullptr) {
     ++opened_connections_;
     connection = std::make_shared<pooled_connection>(*this, address);
--- a/drivers/http_pool.h
+++ b/drivers/http_pool.h
@@ -43,6 +43,8 @@
   duration connect_timeout = std::chrono::milliseconds(500);
   // A pooled connection that has been idle for longer is not used for this
   // call.
+  // The call gets a connection of its own, not one that was used before.
+  bool needs_new_connection = false;
   duration max_idle_time = std::chrono::seconds(1);
   // Asked right before bytes of the call are sent; may be empty. The call fails
   // if it returns false: with `not_sent` if no byte was sent before.
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -227,6 +227,7 @@
   last_received_ = sent_at_;
   connection_failure_.reset();
   is_new_connection_ = false;
+  is_first_call_ = false;
   response_head_ = http_head();
   server_answer_ = server_answer();
   response_body_.clear();
@@ -234,6 +235,8 @@
   stream_.StartRun();
   auto options = call_options();
   options.connect_timeout = kConnectTimeout;
+  // The refusal may come once more on the connection that it came on.
+  options.needs_new_connection = IsDirect() && refused_by_.contains(server_);
   options.max_idle_time = rule_.retry == retry_policy::idempotent
                               ? kMaxIdleIdempotent
                               : kMaxIdleRunOnce;
@@ -276,6 +279,7 @@
   context_.counters.Count(
       "ebony_server_connections_total{result=\"accepted\"}");
   is_new_connection_ = true;
+  is_first_call_ = true;
 }
 
 auto proxy_session::GetConnectionText() const -> std::string_view {
@@ -399,6 +403,7 @@
   } else if (outcome == attempt_outcome::not_run) {
     --attempts_;
     ++not_run_answers_;
+    refused_by_.insert(server_);
     context_.counters.Count("ebony_server_rejections_total{status=\"" +
                             std::to_string(server_answer_.status) + "\"}");
     RecordFullServer();
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -116,6 +116,7 @@
   int attempts_ = 0;          // servers that received at least one byte
   int connect_failures_ = 0;  // servers that could not be connected to
   int not_run_answers_ = 0;   // servers that stated that they did not run it
+  std::set<backend_name> refused_by_;  // these servers
   std::set<backend_name> tried_servers_;
   std::set<vm_name> tried_peers_;
   // The peer that the latest attempt was handed over to; empty: none.
@@ -138,6 +139,7 @@
   std::optional<call_failure> connection_failure_;
   // The connection was made for this attempt and has not been answered yet.
   bool is_new_connection_ = false;
+  bool is_first_call_ = false;  // of its connection
   http_head response_head_;
   server_answer server_answer_;
   bool is_streaming_ = false;  // the body is forwarded as it arrives
--- a/main/proxy_session_answer.cc
+++ b/main/proxy_session_answer.cc
@@ -44,8 +44,12 @@
   }
   const auto decoded = platform::DecodeServerAnswer(head);
   RecordLeaving(decoded);
-  if (decoded.echoed_id != caller_request_id() &&
-      decoded.echoed_id != metadata_.id) {
+  // On a connection that was used before, a refusal without an id may be that
+  // of an earlier request.
+  const auto is_doubtful = decoded.not_run && !is_first_call_ && IsDirect() &&
+                           decoded.echoed_id == caller_request_id();
+  if (is_doubtful || (decoded.echoed_id != caller_request_id() &&
+                      decoded.echoed_id != metadata_.id)) {
     context_.counters.Count("ebony_foreign_answers_total");
     return false;
   }
