An answer whose head stops is interrupted, not a success without a body

Callers would see: 200 with an empty body from ebony_entry. Cause: libcurl reports an orderly close inside the head as success. Class: a library's success taken for the protocol's. The other client (http_pool, gateways) asks its parser and was not affected (9 places, 4 routes). Change: a call is complete only once the empty line after the head has come. Evidence: entry_answers/an_answer_whose_head_stops_is_not_used failed before (status 200 at each place where the connection was closed), passes.

--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -37,6 +37,7 @@
   curl_slist* headers = nullptr;
   header_map response_headers;
   bool is_head_reported = false;
+  bool has_whole_head = false;  // the empty line after it has come
 
   ~transfer() {
     curl_slist_free_all(headers);
@@ -63,8 +64,10 @@
     const auto line = std::string(data, size * count);
     if (line.rfind("HTTP/", 0) == 0) {
       self.response_headers.clear();
+      self.has_whole_head = false;
       return size * count;
     }
+    self.has_whole_head = self.has_whole_head || line == "\r\n" || line == "\n";
     const auto colon = line.find(':');
     if (colon == std::string::npos) {
       return size * count;
@@ -213,7 +216,9 @@
     auto sent_bytes = 0L;
     curl_easy_getinfo(message->easy_handle, CURLINFO_REQUEST_SIZE, &sent_bytes);
     auto end = transfer_result::completed;
-    if (result != CURLE_OK) {
+    // libcurl takes a connection that ends inside the head for the end of an
+    // answer without a body.
+    if (result != CURLE_OK || !item->has_whole_head) {
       end = sent_bytes == 0 ? transfer_result::not_sent
                             : transfer_result::interrupted;
     }
