The error of another attempt does not end a started stream in order

Callers would see: a stream of a plain service that ends as if complete. Cause: an error status counts as a service's answer, and Deliver ended whatever had begun. Class: what an attempt says applied to what the caller already has. The text itself did not get into the stream. Change: a stream that has begun and has not come to its last event is aborted. Evidence: entry_answers/a_started_stream_is_not_ended_by_the_error_of_ another_try failed before (429, 500, 503), passes.

--- a/main/caller_session.cc
+++ b/main/caller_session.cc
@@ -205,6 +205,11 @@
   is_answered_ = true;
   metrics_.Observe("ebony_answer_seconds{kind=\"whole\"}",
                    ToSeconds(last_progress_ - arrived_));
+  if (has_started_ && !deduplicator_.is_done()) {
+    // The error of another attempt does not end the stream that has begun.
+    exchange_->Abort();
+    return;
+  }
   if (has_started_) {
     exchange_->Finish();
     return;
