Tests: a fall for want of room accuses nobody, and unreadable words

Change: tests only. A server that refused with the word and ends accuses no request; one that refused without it, or said it with room, does. Six unreadable words change nothing and are counted.

--- a/tests/slot_limit_test.cc
+++ b/tests/slot_limit_test.cc
@@ -1,4 +1,8 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+#include <vector>
 
 #include "control/slot_ledger.h"
 #include "tests/gateway_harness.h"
@@ -23,7 +27,7 @@
   return limited;
 }
 
-auto MakeRequest(std::uint32_t held, std::uint32_t waiting) -> permit_report {
+auto MakeReport(std::uint32_t held, std::uint32_t waiting) -> permit_report {
   auto report = permit_report();
   report.id = kId;
   report.start_time_ms = 1;
@@ -61,21 +65,88 @@
   return options;
 }
 
+// Adds a field to a rendered response.
+auto AddField(std::string response, const std::string& field) -> std::string {
+  return field.empty() ? response
+                       : response.insert(response.find("\r\n"), "\r\n" + field);
+}
+
+constexpr auto kWord = "Server-Brittle: 5";
+constexpr auto kRefusal =
+    "HTTP/1.1 503 X\r\nEbonythread-Request-Id: $ID\r\n"
+    "Ebonythread-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
+// Lets a request run at each of four servers, which answer the next ones with
+// `answer`, and crashes one that has. Returns the suspects at the gateway.
+auto CountAccused(const std::string& answer) -> std::size_t {
+  constexpr auto kServers = std::size_t{4};
+  auto site = gateway_harness(kServers);
+  for (const auto& server : site.servers) {
+    server->AddScript({{}, server_script::ending::hang});
+    server->AnswerAlways({{answer}, server_script::ending::keep});
+  }
+  for (const auto* phase : {"first", "next"}) {
+    for (auto i = std::size_t{0}; i < 2 * kServers; ++i) {
+      site.Send(MakeRequest("once", phase + std::to_string(i), "",
+                            phase + std::to_string(i)));
+      site.RunFor(milliseconds(10));
+    }
+  }
+  const auto has_answered = [](const auto& server) {
+    return server->get_received().size() > 1;
+  };
+  const auto found =
+      std::find_if(site.servers.begin(), site.servers.end(), has_answered);
+  BOOST_REQUIRE(found != site.servers.end());
+  (*found)->Crash();
+  site.RunFor(milliseconds(1500));
+  return site.get_gateway().CountSuspects();
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(slot_limits)
 
+BOOST_AUTO_TEST_CASE(a_server_that_falls_for_want_of_room_accuses_no_request) {
+  BOOST_TEST(CountAccused(AddField(kRefusal, kWord)) == 0U);
+  // Others may have ended it: one that says nothing of rejections, or has room.
+  BOOST_TEST(CountAccused(kRefusal) > 0U);
+  BOOST_TEST(CountAccused(AddField(MakeResponse(200, "whole"), kWord)) > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_word_that_cannot_be_read_changes_nothing) {
+  constexpr auto kRequests = 20;
+  for (const auto& text : {std::string(), std::string("-1"), std::string("1.5"),
+                           std::string(10 * 1024, '9'), std::string("x"),
+                           std::string("5\r\nServer-Brittle: 5")}) {
+    auto site = gateway_harness(1);
+    site.servers[0]->AnswerAlways(
+        {{AddField(MakeResponse(200, "whole"), "Server-Brittle: " + text)},
+         server_script::ending::keep});
+    auto answers = std::vector<std::shared_ptr<caller_response>>();
+    for (auto i = 0; i < kRequests; ++i) {
+      answers.push_back(site.Send(MakeRequest("plain", std::to_string(i))));
+      site.RunUntil([&] { return answers.back()->is_complete; });
+    }
+    BOOST_TEST(site.servers[0]->get_received().size() == kRequests);
+    const auto rendered = site.get_counters().Render();
+    BOOST_TEST(rendered.find("ebony_unreadable_max_rejections_total 20") !=
+               std::string::npos);
+    BOOST_TEST(rendered.find("ebony_limited_servers 0") != std::string::npos);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(no_more_slots_are_granted_than_a_server_has) {
   auto leader = permit_allocator();
   leader.SetLimit(MakeSlots(3), At(0));
-  leader.Request(vm_name("a"), MakeRequest(1, 5), At(0));
+  leader.Request(vm_name("a"), MakeReport(1, 5), At(0));
   BOOST_TEST(Take(leader, "a", At(0)) == 0U);  // the others have not reported
-  leader.Request(vm_name("b"), MakeRequest(1, 5), At(900));
-  leader.Request(vm_name("a"), MakeRequest(1, 5), At(900));
+  leader.Request(vm_name("b"), MakeReport(1, 5), At(900));
+  leader.Request(vm_name("a"), MakeReport(1, 5), At(900));
   BOOST_TEST(Take(leader, "a", At(900)) == 1U);
   BOOST_TEST(Take(leader, "b", At(900)) == 0U);
-  leader.Request(vm_name("a"), MakeRequest(0, 0), At(1000));
-  leader.Request(vm_name("b"), MakeRequest(1, 5), At(1000));
+  leader.Request(vm_name("a"), MakeReport(0, 0), At(1000));
+  leader.Request(vm_name("b"), MakeReport(1, 5), At(1000));
   BOOST_TEST(Take(leader, "b", At(1000)) == 2U);
 }
 
@@ -108,7 +179,7 @@
   auto limited = MakeSlots(9, true);
   limited.start_time_ms = 2;
   leader.SetLimit(limited, At(2000));
-  auto report = MakeRequest(0, 9);
+  auto report = MakeReport(0, 9);
   report.start_time_ms = 2;
   leader.Request(vm_name("a"), report, At(2000));
   BOOST_TEST(Take(leader, "a", At(2000)) == permit_allocator::kFirstSlots);
