--- a/entry/wait_estimator.cc
+++ b/entry/wait_estimator.cc
@@ -11,8 +11,10 @@
 constexpr double kWindowSeconds = 1.0;
 // Requests sent within the window below which the rate is not used.
 constexpr double kMinRate = 2.0;
-// Arrivals over requests sent above which the difference is not by chance.
+// Arrivals are more than what is sent above this ratio, and above this number
+// of standard deviations of a number of arrivals.
 constexpr double kOverload = 1.15;
+constexpr double kDeviations = 2.0;
 
 auto ToSeconds(duration value) -> double {
   return std::chrono::duration<double>(value).count();
@@ -69,7 +71,9 @@
     return false;
   }
   const auto sent = found->second.sent.Get(now);
-  return sent >= kMinRate && found->second.arrived.Get(now) > kOverload * sent;
+  const auto arrived = found->second.arrived.Get(now);
+  return sent >= kMinRate && arrived > kOverload * sent &&
+         arrived - sent > kDeviations * std::sqrt(arrived);
 }
 
 }  // namespace ebony
