--- a/tools/ebony_bench.cc
+++ b/tools/ebony_bench.cc
@@ -302,9 +302,9 @@
   PrintFit("claims, memory, MiB", "MiB", memory, 180000);
 }
 
-// The leader's work for one sync of a daemon that asks for permits, and the
-// bytes of a row each way.
-auto MeasurePermitSlopes() -> void {
+// The leader's work for one sync of a daemon that asks for permits by a rate,
+// or for slots.
+auto MeasurePermits(const request_limit& limit, const char* name) -> void {
   auto cost = std::vector<sample>();
   const auto vm = vm_name("asks");
   const auto now = mono_time(std::chrono::seconds(1000));
@@ -314,9 +314,11 @@
     for (auto i = 0U; i < servers; ++i) {
       reports[i].id = backend_name("server-" + std::to_string(i));
       reports[i].waiting = 1;
+      reports[i].held = limit.max_rejections ? 1 : 0;
       auto limited = limited_server();
       limited.id = reports[i].id;
-      limited.limit.rate = request_rate(1600);
+      limited.slots = 9;
+      limited.limit = limit;
       allocator.SetLimit(limited, now);
       for (auto daemon = 0; daemon < 7; ++daemon) {
         allocator.Request(vm_name("d" + std::to_string(daemon)), reports[i],
@@ -330,6 +332,18 @@
                       allocator.Take(vm, now);
                     })});
   }
+  PrintFit(name, "us", cost, 50);
+}
+
+// The same, and the bytes of a row each way.
+auto MeasurePermitSlopes() -> void {
+  std::printf("\nper limited server that a daemon asks for\n");
+  auto by_rate = request_limit();
+  by_rate.rate = request_rate(1600);
+  MeasurePermits(by_rate, "request and grant of permits, us");
+  auto by_slots = request_limit();
+  by_slots.max_rejections = rejection_count(5);
+  MeasurePermits(by_slots, "report and grant of slots, us");
   auto request = schema::permit_request_row();
   request.set_number(5000);
   request.set_born_ms(1796374646990);
@@ -338,10 +352,11 @@
   auto permit = schema::permit_row();
   permit.set_number(5000);
   permit.set_permits(1);
-  std::printf("\nper limited server that a daemon asks for\n");
-  PrintFit("request and grant of permits, us", "us", cost, 50);
-  std::printf("row of a request %zu B, of a permit %zu B\n",
-              request.ByteSizeLong(), permit.ByteSizeLong());
+  const auto request_bytes = request.ByteSizeLong();
+  request.clear_expected();
+  request.set_held(3);
+  std::printf("row of a request %zu B, of slots %zu B, of a permit %zu B\n",
+              request_bytes, request.ByteSizeLong(), permit.ByteSizeLong());
 }
 
 // The work and memory for each stream whose origin a daemon remembers.
