A new leader of many gateways sends few whole registries

Change: above 24 gateways, with a relay known, one whole registry in 50 ms; the rest get the configuration and the relays. Tests: how many a second; an answer without a registry takes nothing away; a gateway without one holds requests.

--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -15,6 +15,7 @@
 #include "control/peer_choice.h"
 #include "control/permit_allocator.h"
 #include "control/software_census.h"
+#include "control/transfer_limiter.h"
 #include "core/backend_index.h"
 #include "core/backend_registry.h"
 #include "core/metrics.h"
@@ -63,6 +64,7 @@
   peer_lists peer_lists_;
   load_totals load_totals_;
   permit_allocator permit_allocator_;
+  transfer_limiter registry_transfers_;
   // What began each stream, as reported by all gateways to the leader, or by
   // the gateways that a relay serves.
   stream_origins origins_;
@@ -159,6 +161,12 @@
   // Returns the software versions if all that the registry lists are replicated
   // and this coordinator is sure to lead, nullptr otherwise.
   auto GetCurrentSoftware() const -> const software_versions*;
+  // Returns true if the gateway has to get the whole registry from a relay.
+  auto IsLeftToRelay(const schema::sync_request& request,
+                     const schema::sync_answer& reply) -> bool;
+  // Answers such a gateway with the configuration and the relays.
+  auto FillRelayHint(const schema::sync_request& request,
+                     schema::sync_answer& reply) -> void;
   auto FillPermits(const vm_name& vm, schema::sync_answer& reply) -> void;
   auto GetDeskRole() -> desk_role;
   auto HandleCrashes(const schema::sync_request& request,
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "codec/handover_codec.h"
@@ -306,6 +307,10 @@
        incarnation(request.incarnation()), request.ready(), now,
        MakePeerAddress(request.caller_address(), request.peer_port()),
        request.reaches_no_server()});
+  if (IsLeftToRelay(request, reply)) {
+    FillRelayHint(request, reply);
+    return;
+  }
   RecordLoads(request);
   RecordPermitRequests(request);
   AddLoads(*reply.mutable_loads(), load_totals_.GetReport());
@@ -319,6 +324,28 @@
                              now);
 }
 
+auto coordinator_daemon::IsLeftToRelay(const schema::sync_request& request,
+                                       const schema::sync_answer& reply)
+    -> bool {
+  const auto now = loop_.get_now();
+  const auto has_relay = std::any_of(
+      followers_.begin(), followers_.end(), [now](const auto& item) {
+        return now - item.second.last_seen <= kFollowerTimeout;
+      });
+  return reply.gateway_count() > sync_relay::kMaxDirectGateways && has_relay &&
+         request.roster_source() != registry_epoch_ &&
+         !registry_transfers_.TryTake(now);
+}
+
+auto coordinator_daemon::FillRelayHint(const schema::sync_request& request,
+                                       schema::sync_answer& reply) -> void {
+  metrics_.Count("ebony_registries_left_to_relays_total");
+  FillConfig(request, reply);
+  FillRelays(reply);
+  // The gateway turns to one of the relays at once.
+  reply.set_served_gateways(1);
+}
+
 // Relays are offered only when there are too many gateways for the leader
 // alone.
 auto coordinator_daemon::FillRelays(schema::sync_answer& reply) const -> void {
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -279,7 +279,15 @@
 }
 
 auto gateway_daemon::OnSyncAnswer(const schema::sync_answer& answer) -> void {
+  const auto is_relay_hint = answer.roster_source().empty();
+  if (is_relay_hint && registry_.get_source().empty()) {
+    return;  // with a configuration, but no server, it would reject all
+             // requests
+  }
   ApplyConfig(answer);
+  if (is_relay_hint) {
+    return;
+  }
   versions_.ApplyAnswer(answer);
   ApplyOrigins(answer, ApplyRegistry(answer));
   auto loads = std::map<backend_name, server_load>();
--- a/tests/coordinator_parts_test.cc
+++ b/tests/coordinator_parts_test.cc
@@ -5,6 +5,7 @@
 #include "control/drain_acks.h"
 #include "control/gateway_registry.h"
 #include "control/load_totals.h"
+#include "control/transfer_limiter.h"
 #include "core/error_kind.h"
 #include "drivers/compression.h"
 #include "tests/test_support.h"
@@ -99,6 +100,15 @@
   BOOST_TEST(Inflate(Deflate({})).empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_new_leader_sends_few_whole_registries_a_second) {
+  auto transfers = transfer_limiter();
+  auto sent = 0;
+  for (auto ms = 0; ms < 1000; ++ms) {
+    sent += transfers.TryTake(At(ms)) ? 1 : 0;
+  }
+  BOOST_TEST(sent == 20);
+}
+
 BOOST_AUTO_TEST_CASE(a_departure_is_acknowledged_once_live_gateways_have_it) {
   auto acks = drain_acks();
   auto outcome = std::string("pending");
--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -452,6 +452,12 @@
     reply.set_config(deflated.bytes);
     reply.set_config_bytes(deflated.inflated_size);
   }
+  if (leaves_registry_to_relays_) {
+    auto head = http_head();
+    head.status = 200;
+    answer->Respond(std::move(head), reply.SerializeAsString());
+    return;
+  }
   reply.set_roster_source("test");
   reply.set_roster_revision(registry_.get_revision());
   for (const auto* record : registry_.ListSince(0)) {
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -153,6 +153,7 @@
   software_versions software_;  // of all servers so far
   software_census census_;
   bool is_sure_leader_ = false;
+  bool leaves_registry_to_relays_ = false;
   // Gateways before `Restart`, kept because their timers still refer to them.
   std::vector<std::unique_ptr<gateway_daemon>> stopped_gateways_;
   std::deque<server_script> common_scripts_;
@@ -228,6 +229,10 @@
   auto SetKnowsOrigins(bool knows) -> void { knows_origins_ = knows; }
   // The coordinator is sure to lead, and its registry is current.
   auto SetSureLeader(bool is_sure) -> void { is_sure_leader_ = is_sure; }
+  // The coordinator answers with the configuration only.
+  auto SetLeavesRegistryToRelays(bool leaves) -> void {
+    leaves_registry_to_relays_ = leaves;
+  }
   // Tells the coordinator what began the stream of a request.
   auto AddOrigin(const std::string& request,
                  const std::string& service,
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -488,6 +488,27 @@
   BOOST_TEST(response->head.Find("Retry-After") != nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_without_a_registry_takes_nothing_away) {
+  auto harness = gateway_harness(1);
+  harness.SetLeavesRegistryToRelays(true);
+  harness.RunFor(milliseconds(200));
+  const auto answer = harness.Send(MakeRequest("plain", "id-1"));
+  harness.RunUntil([&] { return answer->is_complete; });
+  BOOST_TEST(answer->status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(a_gateway_without_a_registry_holds_requests) {
+  auto harness = gateway_harness(1);
+  harness.SetLeavesRegistryToRelays(true);
+  harness.Restart();
+  const auto answer = harness.Send(MakeRequest("plain", "id-1"));
+  harness.RunFor(milliseconds(200));
+  BOOST_TEST(!answer->is_complete);
+  harness.SetLeavesRegistryToRelays(false);
+  harness.RunUntil([&] { return answer->is_complete; });
+  BOOST_TEST(answer->status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(an_older_configuration_is_ignored) {
   auto harness = gateway_harness(1);
   harness.SetConfig(R"({"version":5,"routes":[],"services":[{"name":"s"}]})",
