The soak can start with an earlier build

Change: processes run the programs of another folder until a fault restarts them: ebony_site_soak BIN SEED SECONDS from=EARLIER_DIR.

--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -1,9 +1,11 @@
 // ebony_site_soak: runs the programs of a site as processes, under load and
 // random faults, and checks the guarantees to callers and operators.
-//   ebony_site_soak PROGRAM_DIR SEED SECONDS [calm]
+//   ebony_site_soak PROGRAM_DIR SEED SECONDS [calm | from=EARLIER_DIR]
 //   ebony_site_soak PROGRAM_DIR SEED brittle [alike] [faults] [light]
-// With "calm", no faults are injected. With "brittle", the load is above what
-// the servers can run and those fall over if they have to reject many requests.
+// With "calm", no faults are injected. With "from", the processes run an
+// earlier build until a fault restarts them. With "brittle", the load is above
+// what the servers can run and those fall over if they have to reject many
+// requests.
 
 #include <signal.h>
 
@@ -48,8 +50,14 @@
     scene.Run();
     return Report(scene, argv[2]);
   }
-  auto site = ebony::testing::soak_site(argv[1], seed);
+  const auto last = std::string(argv[argc - 1]);
+  const auto prefix = std::string("from=");
+  auto options = ebony::testing::soak_site_options();
+  if (last.starts_with(prefix)) {
+    options.first_program_dir = last.substr(prefix.size());
+  }
+  auto site = ebony::testing::soak_site(argv[1], seed, options);
   site.Start();
-  site.Run(std::chrono::seconds(std::stoi(argv[3])), argc == 4);
+  site.Run(std::chrono::seconds(std::stoi(argv[3])), !words.contains("calm"));
   return Report(site, argv[2]);
 }
--- a/tests/soak/soak_site.cc
+++ b/tests/soak/soak_site.cc
@@ -100,7 +100,9 @@
 soak_site::soak_site(std::string program_dir,
                      std::uint64_t seed,
                      soak_site_options options)
-    : random_(seed), program_dir_(std::move(program_dir)), options_(options) {
+    : random_(seed),
+      program_dir_(std::move(program_dir)),
+      options_(std::move(options)) {
   auto name = std::string("/tmp/ebony-soak-XXXXXX");
   folder_ = ::mkdtemp(name.data());
   port_ = 20000 + (::getpid() % 2000) * 10;
@@ -149,7 +151,10 @@
 
 auto soak_site::Spawn(soak_process& process, bool is_first) -> void {
   WriteSettings(process, is_first);
-  const auto program = program_dir_ + "/" + process.program;
+  const auto is_earlier_build = is_first && !options_.first_program_dir.empty();
+  const auto program =
+      (is_earlier_build ? options_.first_program_dir : program_dir_) + "/" +
+      process.program;
   const auto log = process.folder + "/log";
   const auto setting = "EBONYTHREAD_SETTINGS=" + process.folder + "/settings";
   process.pid = ::fork();
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -34,6 +34,9 @@
   int servers = 3;
   int slots = 50;  // of each server
   int target_latency_ms = 200;
+  // Holds an earlier build, which processes run until they are restarted;
+  // empty: all run the present one.
+  std::string first_program_dir = {};
 };
 
 // Answers a request at a simulated backend server instead of the site.
