The leader looks only at limits that have changed

Cause (by reading): any change of the registry, also the load of a model or a rejection, walked all servers at the next sync to find their limits. Change: the records since the revision that was seen last. Conclusion: request_limits, limit_sharing, slot_limits pass as before.

--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -191,12 +191,9 @@
 }
 
 auto coordinator_daemon::UpdateLimits() -> void {
-  if (limits_revision_ == registry_.get_revision()) {
-    return;
-  }
-  limits_revision_ = registry_.get_revision();
   const auto now = loop_.get_now();
-  for (const auto* record : registry_.ListSince(0)) {
+  const auto since = std::exchange(limits_revision_, registry_.get_revision());
+  for (const auto* record : registry_.ListSince(since)) {
     const auto& status = record->status;
     permit_allocator_.SetLimit(
         {status.id, status.start_time_ms, status.slots,
