The brittle scene says how long its own process was paused

Nothing in the output told whether callers and servers, which are one process, were given the processor. Change: the longest pause of that process is printed. No check changes.

--- a/tests/soak/brittle_scene.cc
+++ b/tests/soak/brittle_scene.cc
@@ -222,7 +222,11 @@
     InjectFaults();
   }
   auto next = start_;
+  last_tick_ = start_;
   RepeatEvery(loop, milliseconds(1), [this, &loop, &next] {
+    longest_pause_ =
+        std::max(longest_pause_, duration(loop.get_now() - last_tick_));
+    last_tick_ = loop.get_now();
     UpdateRoom();
     while (next <= loop.get_now() && loop.get_now() - start_ < kEnd) {
       next += options_.is_light ? kLightInterval : kArrivalInterval;
@@ -262,7 +266,9 @@
 auto brittle_scene::Describe() const -> std::string {
   auto out = std::ostringstream();
   out.precision(3);
-  out << CountFalls() << " falls";
+  out << CountFalls() << " falls, callers and servers paused for at most "
+      << std::chrono::duration_cast<milliseconds>(longest_pause_).count()
+      << " ms";
   for (const auto& [phase, counts] : phases_) {
     out << "\n  " << phase << ": " << counts.sent << " sent, "
         << static_cast<double>(counts.served) / std::max(1, counts.sent)
--- a/tests/soak/brittle_scene.h
+++ b/tests/soak/brittle_scene.h
@@ -49,6 +49,10 @@
   std::size_t next_request_ = 0;
   std::size_t next_arrival_ = 0;
   mono_time start_;
+  mono_time last_tick_;
+  // The longest time in which this process, which plays callers and servers,
+  // was not given the processor.
+  duration longest_pause_{0};
   std::map<std::string, answer_counts> phases_;
 
   auto GetPhase() -> std::string;
