--- a/tests/http_pool_test.cc
+++ b/tests/http_pool_test.cc
@@ -11,6 +11,7 @@
 struct byte_counter {
   event_loop& loop;
   std::size_t received = 0;
+  std::string answer = {};  // sent before it closes; empty: it does neither
   std::vector<std::shared_ptr<stream_socket>> sockets;
   stream_acceptor acceptor;
 
@@ -22,11 +23,16 @@
 
   auto Adopt(int fd) -> void {
     auto hooks = stream_socket::hooks();
-    hooks.on_bytes = [this](std::string_view bytes) {
+    sockets.push_back(std::make_shared<stream_socket>(loop));
+    const auto socket = sockets.back();
+    hooks.on_bytes = [this, socket](std::string_view bytes) {
       received += bytes.size();
+      if (!answer.empty()) {
+        socket->Send(answer);
+        socket->CloseGracefully();
+      }
     };
-    sockets.push_back(std::make_shared<stream_socket>(loop));
-    sockets.back()->Adopt(fd, std::move(hooks));
+    socket->Adopt(fd, std::move(hooks));
   }
 
   auto GetAddress() const -> host_port {
@@ -63,6 +69,28 @@
   BOOST_TEST(peer.received == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_whose_head_stops_is_interrupted) {
+  const auto whole =
+      std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  for (const auto left : {1U, 2U, 3U, 10U, 21U, 30U}) {
+    auto loop = event_loop();
+    auto pool = http_pool(loop);
+    auto peer = byte_counter(loop);
+    peer.answer = whole.substr(0, whole.size() - left);
+    auto failure = std::optional<call_failure>();
+    auto is_complete = false;
+    auto hooks = call_hooks();
+    hooks.on_failed = [&failure](call_failure reason) { failure = reason; };
+    hooks.on_complete = [&is_complete] { is_complete = true; };
+    const auto call =
+        pool.Start(peer.GetAddress(), RenderPost("/", peer.GetAddress(), "{}"),
+                   false, call_options(), std::move(hooks));
+    loop.Run([&] { return failure.has_value() || is_complete; });
+    BOOST_TEST(!is_complete, peer.answer);
+    BOOST_TEST((failure == call_failure::interrupted), peer.answer);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
