--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -108,7 +108,7 @@
   timer_id queue_timer_;
   bool is_overdue_ = false;  // the first wait in the queue has timed out
   server_verdict queue_reason_ = server_verdict::busy;
-  duration pause_left_{0};  // of the servers that the request could go to
+  duration pause_left_{0};    // of the servers that the request could go to
   bool awaits_slot_ = false;  // of a server that is limited by its slots
   // Servers that the queued request waits for a permit of.
   std::vector<backend_name> awaited_permits_;
