--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -393,7 +393,6 @@
     return;
   }
   const auto self = shared_from_this();
-  const auto now = context_.loop.get_now();
   context_.guard.EndTrial(evidence_);
   if (!IsDirect() && server_ != backend_name()) {
     tried_servers_.insert(server_);
@@ -403,11 +402,7 @@
     RecordUnsent();
   } else if (outcome == attempt_outcome::not_run) {
     --attempts_;
-    ++not_run_answers_;
-    refused_by_.insert(server_);
-    context_.counters.Count("ebony_server_rejections_total{status=\"" +
-                            std::to_string(server_answer_.status) + "\"}");
-    RecordFullServer();
+    RecordRejection();
   }
   RecordSlot(outcome);
   auto summary = attempt_summary();
@@ -435,24 +430,7 @@
   may_have_run_ = may_have_run_ || (outcome != attempt_outcome::not_sent &&
                                     outcome != attempt_outcome::not_run);
   if (action != attempt_action::deliver) {
-    context_.log.Write(
-        event_category::request, "attempt_ended",
-        {{"request", metadata_.id.get()},
-         {"backend", server_.get()},
-         {"peer", peer_.get()},
-         {"end", std::string(GetAttemptOutcomeText(outcome))},
-         {"connection", std::string(GetConnectionText())},
-         {"silent_ms", duration(now - context_.paths.get_last_bytes())},
-         {"status", static_cast<std::int64_t>(server_answer_.status)},
-         {"load", static_cast<std::int64_t>(found_requests_)},
-         {"max_rejections", GetRejectionField(server_answer_.max_rejections)},
-         {"retry_after_ms", server_answer_.retry_after.value_or(duration(0))},
-         {"framing", GetFramingText()},
-         {"events", static_cast<std::int64_t>(stream_.get_events())},
-         {"partial_bytes",
-          static_cast<std::int64_t>(stream_.get_partial_bytes())},
-         {"took_ms", duration(now - sent_at_)},
-         {"next", std::string(GetAttemptActionText(action))}});
+    LogAttemptEnd(outcome, action);
   }
   context_.on_capacity_freed();
   switch (action) {
@@ -483,6 +461,14 @@
   }
 }
 
+auto proxy_session::RecordRejection() -> void {
+  ++not_run_answers_;
+  refused_by_.insert(server_);
+  context_.counters.Count("ebony_server_rejections_total{status=\"" +
+                          std::to_string(server_answer_.status) + "\"}");
+  RecordFullServer();
+}
+
 auto proxy_session::RecordSlot(attempt_outcome outcome) -> void {
   if (!IsDirect()) {
     return;
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -268,7 +268,10 @@
   // Decides what follows the attempt, once it is known whether its server has
   // crashed.
   auto ConcludeAttempt(attempt_outcome outcome) -> void;
+  auto LogAttemptEnd(attempt_outcome outcome, attempt_action action) -> void;
   auto RecordServerOutcome(attempt_outcome outcome) -> void;
+  // Records that the server stated that it did not run the latest attempt.
+  auto RecordRejection() -> void;
   // Records that no byte of the latest attempt was sent.
   auto RecordUnsent() -> void;
   // The server has turned the request away for want of room.
--- a/main/proxy_session_end.cc
+++ b/main/proxy_session_end.cc
@@ -1,5 +1,5 @@
-// How requests of a proxy_session end: deadlines, disconnected callers,
-// shutdown and the final answers.
+// How attempts and requests of a proxy_session end: log lines, deadlines,
+// disconnected callers, shutdown and the final answers.
 
 #include "main/proxy_session.h"
 
@@ -9,6 +9,29 @@
 
 namespace ebony {
 
+auto proxy_session::LogAttemptEnd(attempt_outcome outcome,
+                                  attempt_action action) -> void {
+  const auto now = context_.loop.get_now();
+  context_.log.Write(
+      event_category::request, "attempt_ended",
+      {{"request", metadata_.id.get()},
+       {"backend", server_.get()},
+       {"peer", peer_.get()},
+       {"end", std::string(GetAttemptOutcomeText(outcome))},
+       {"connection", std::string(GetConnectionText())},
+       {"silent_ms", duration(now - context_.paths.get_last_bytes())},
+       {"status", static_cast<std::int64_t>(server_answer_.status)},
+       {"load", static_cast<std::int64_t>(found_requests_)},
+       {"max_rejections", GetRejectionField(server_answer_.max_rejections)},
+       {"retry_after_ms", server_answer_.retry_after.value_or(duration(0))},
+       {"framing", GetFramingText()},
+       {"events", static_cast<std::int64_t>(stream_.get_events())},
+       {"partial_bytes",
+        static_cast<std::int64_t>(stream_.get_partial_bytes())},
+       {"took_ms", duration(now - sent_at_)},
+       {"next", std::string(GetAttemptActionText(action))}});
+}
+
 auto proxy_session::OnDeadline() -> void {
   if (is_finished_) {
     return;
