Logs tell apart a late configuration, a relay behind and a false acknowledgement

Nothing said which term an acknowledged configuration was proposed in, for how long a gateway had heard nothing before a configuration came, from whom it came, or that a relay's copy was behind the leader's. Change: config_proposed, config_applied and config_acknowledged name index and term (the last also the current number, whether this coordinator leads, and how long the operator waited); a gateway's config_applied names its coordinator and the silence before; a follower that the leader is ahead of logs config_behind. The follower's answer carries the leader's number. ebony_sync_silence_seconds and ebony_config_behind_total count the same. No decision changes.

--- a/core/site_settings.h
+++ b/core/site_settings.h
@@ -36,6 +36,9 @@
   std::uint32_t tolerated_vm_losses = 0;
   std::uint32_t max_descriptors = 0;  // open file descriptors
   duration announce_interval{0};      // between announcements of one server
+  // Time after the acknowledgement of a configuration from which no gateway may
+  // act on an older one.
+  duration config_limit{0};
   // Time after a server's leave until it gets no more new requests.
   duration drain_limit{0};
   duration stop_grace{0};  // from SIGTERM to SIGKILL
--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -141,7 +141,8 @@
       SetConfig(message);
       log_.Write(event_category::state, "config_applied",
                  {{"number", static_cast<std::int64_t>(config_.number.get())},
-                  {"index", static_cast<std::int64_t>(entry.index.get())}});
+                  {"index", static_cast<std::int64_t>(entry.index.get())},
+                  {"term", static_cast<std::int64_t>(entry.term.get())}});
     }
   }
   if (software_proposal_ && entry.index >= *software_proposal_) {
@@ -175,7 +176,12 @@
     const auto put = pending_puts_.begin()->second;
     pending_puts_.erase(pending_puts_.begin());
     log_.Write(event_category::state, "config_acknowledged",
-               {{"number", static_cast<std::int64_t>(put.number.get())}});
+               {{"number", static_cast<std::int64_t>(put.number.get())},
+                {"index", static_cast<std::int64_t>(applied.get())},
+                {"current", static_cast<std::int64_t>(config_.number.get())},
+                {"term", static_cast<std::int64_t>(raft_.get_term().get())},
+                {"leads", raft_.is_leader() ? "yes" : "no"},
+                {"waited_ms", duration(loop_.get_now() - put.received_at)}});
     Respond(put.answer, kOk, "{}");
   }
 }
@@ -348,8 +354,9 @@
   log_.Write(event_category::state, "config_proposed",
              {{"number", static_cast<std::int64_t>(number.get())},
               {"current", static_cast<std::int64_t>(config_.number.get())},
-              {"index", static_cast<std::int64_t>(index->get())}});
-  pending_puts_.emplace(*index, pending_put{number, answer});
+              {"index", static_cast<std::int64_t>(index->get())},
+              {"term", static_cast<std::int64_t>(raft_.get_term().get())}});
+  pending_puts_.emplace(*index, pending_put{number, answer, loop_.get_now()});
 }
 
 auto coordinator_daemon::OnReadConfig(const std::string& target,
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -46,6 +46,7 @@
   struct pending_put {
     config_number number;
     response_pointer answer;
+    mono_time received_at;
   };
 
   site_settings settings_;
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -378,6 +378,7 @@
   if (request.wants_gateways()) {
     FillGateways(reply);
   }
+  reply.set_config_number(config_.number.get());
 }
 
 auto coordinator_daemon::RecordRelayedGateways(
@@ -531,6 +532,12 @@
     return;
   }
   const auto now = loop_.get_now();
+  if (reply.config_number() > config_.number.get()) {
+    metrics_.Count("ebony_config_behind_total");
+    log_.Write(event_category::state, "config_behind",
+               {{"number", static_cast<std::int64_t>(config_.number.get())},
+                {"leader", static_cast<std::int64_t>(reply.config_number())}});
+  }
   relay_.ApplyLeaderAnswer(reply, now);
   crash_desk_.ApplyLeaderAnswer(
       reply,
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -218,7 +218,10 @@
                {{"number", static_cast<std::int64_t>(answer.config_number())},
                 {"former", static_cast<std::int64_t>(current.get())},
                 {"routes", static_cast<std::int64_t>(
-                               route_table_->get_config().routes.size())}});
+                               route_table_->get_config().routes.size())},
+                {"from", link_.get_peer().get()},
+                {"relay", answer.is_relay() ? "yes" : "no"},
+                {"silent_ms", link_.GetSilence()}});
   } catch (const ebony_error& error) {
     log_.Write(event_category::state, "config_unreadable",
                {{"error", error.what()}});
--- a/main/gateway_link.cc
+++ b/main/gateway_link.cc
@@ -159,6 +159,12 @@
         event_category::state, "leader_found",
         {{"link", from.get()}, {"relay", answer.is_relay() ? "yes" : "no"}});
   }
+  const auto now = loop_.get_now();
+  answered_by_ = from;
+  silence_ = answered_at_ == mono_time() ? duration(0) : now - answered_at_;
+  answered_at_ = now;
+  metrics_.Observe("ebony_sync_silence_seconds",
+                   std::chrono::duration<double>(silence_).count());
   hooks_.on_answer(answer);
   if (const auto relay = ChooseRelay(answer); relay != host_port()) {
     MoveToFront(relay);
--- a/main/gateway_link.h
+++ b/main/gateway_link.h
@@ -43,6 +43,10 @@
   timer_id next_sync_timer_;
   mono_time sync_start_;
   bool is_synced_ = false;  // the last sync was answered
+  // Of the answer that is handled, or of the last one.
+  host_port answered_by_;
+  mono_time answered_at_;
+  duration silence_{0};  // before that answer
 
   auto Sync() -> void;
   auto OnAnswer(const host_port& from, const std::string& body) -> void;
@@ -66,6 +70,10 @@
   auto Start() -> void;
   // Schedules a sync ahead of the regular interval, for urgent changes.
   auto SyncSoon() -> void;
+  // Returns the coordinator that answered last, as the leader or as a relay.
+  auto get_peer() const -> const host_port& { return answered_by_; }
+  // Returns the time between that answer and the one before.
+  auto GetSilence() const -> duration { return silence_; }
   // Adds the link addresses of seeds that are not known yet.
   auto AddSeeds(const std::vector<host_port>& seeds) -> void;
 };
