--- /dev/null
+++ b/tests/coordinator_harness.h
@@ -0,0 +1,69 @@
+#ifndef EBONY_TESTS_COORDINATOR_HARNESS_H_
+#define EBONY_TESTS_COORDINATOR_HARNESS_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/metrics.h"
+#include "core/site_settings.h"
+#include "drivers/event_log.h"
+#include "drivers/event_loop.h"
+#include "drivers/http_listener.h"
+#include "drivers/http_pool.h"
+#include "main/coordinator_daemon.h"
+#include "schema/site.pb.h"
+
+namespace ebony::testing {
+
+// An answer as received by the operator or a gateway; status 0: none.
+struct coordinator_response {
+  int status = 0;
+  std::string body;
+};
+
+// Runs the real coordinator daemon on loopback with two scripted voters, which
+// grant every vote and accept every entry until they are told not to.
+class coordinator_harness {
+  event_loop loop_;
+  event_log log_{"test", 0};
+  metrics counters_;
+  http_pool pool_;
+  std::string folder_;
+  site_settings settings_;
+  std::vector<std::unique_ptr<http_listener>> voters_;
+  std::unique_ptr<coordinator_daemon> coordinator_;
+  bool is_accepting_ = true;
+  schema::raft_message last_append_;  // that a voter got
+
+  auto MakeVoter(int number) -> std::unique_ptr<http_listener>;
+  auto OnVoterCall(const incoming_request& call, const response_pointer& answer)
+      -> void;
+  auto GetLink(int number) const -> host_port;
+  auto GetNode(int number) const -> std::string;
+  auto Call(const host_port& to, const std::string& bytes)
+      -> std::shared_ptr<coordinator_response>;
+
+ public:
+  coordinator_harness();
+  ~coordinator_harness();
+  coordinator_harness(const coordinator_harness&) = delete;
+  auto operator=(const coordinator_harness&) -> coordinator_harness& = delete;
+
+  // Waits until the coordinator leads and has committed an entry.
+  auto AwaitLeadership() -> void;
+  // While unset, the voters leave the coordinator's entries unanswered.
+  auto SetAccepting(bool is_accepting) -> void { is_accepting_ = is_accepting; }
+  // The operator sends a configuration with one route, `/r<number>/`.
+  auto PutConfig(std::uint64_t number) -> std::shared_ptr<coordinator_response>;
+  // A voter that now leads in the next term overwrites the entries after the
+  // last one that is committed by a barrier, and commits it.
+  auto OverwriteEntries() -> void;
+  auto RunUntil(const std::function<bool()>& done) -> void;
+  auto RunFor(duration time) -> void;
+};
+
+}  // namespace ebony::testing
+
+#endif  // EBONY_TESTS_COORDINATOR_HARNESS_H_
--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -300,6 +300,7 @@
   settings.peer_address =
       host_port("127.0.0.1:" + std::to_string(FindFreePort()));
   settings.stop_grace = milliseconds(8000);
+  settings.config_limit = kConfigLimit;
   settings.retry_ratio = 0.2;
   settings.retry_slack = 50;
   settings.retry_window = std::chrono::seconds(10);
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -181,6 +181,9 @@
                      schema::sync_answer& reply) -> void;
 
  public:
+  // Time after which an acknowledged configuration has to be in force.
+  static constexpr duration kConfigLimit = std::chrono::milliseconds(2000);
+
   std::vector<std::unique_ptr<scripted_server>> servers;
   std::vector<schema::sync_request> syncs;
 
