A configuration is acknowledged only if the entry applied is the one proposed

What operators saw: 200 for a configuration that no coordinator held; gateways went on with the former one, and the change was gone when read back. Cause: the answers that wait for a commit were kept by log index. A leader that was held up while another one was elected proposes into its own log, then gets the new leader's entries: its proposal is overwritten, the new entry is applied at the same index, and the operator is answered 200, before the next tick notices the lost leadership. Elsewhere: software_proposal_ uses an index only to end a wait, so a mistake there delays a census by nothing; control_daemon answers by the change's own id.

--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -148,7 +148,7 @@
   if (software_proposal_ && entry.index >= *software_proposal_) {
     software_proposal_.reset();
   }
-  RespondToPuts(entry.index);
+  pending_puts_.OnApplied(entry);
 }
 
 auto coordinator_daemon::ApplySoftware(const schema::site_snapshot& message)
@@ -171,19 +171,24 @@
   is_census_due_ = true;
 }
 
-auto coordinator_daemon::RespondToPuts(log_index applied) -> void {
-  while (!pending_puts_.empty() && pending_puts_.begin()->first <= applied) {
-    const auto put = pending_puts_.begin()->second;
-    pending_puts_.erase(pending_puts_.begin());
-    log_.Write(event_category::state, "config_acknowledged",
-               {{"number", static_cast<std::int64_t>(put.number.get())},
-                {"index", static_cast<std::int64_t>(applied.get())},
-                {"current", static_cast<std::int64_t>(config_.number.get())},
-                {"term", static_cast<std::int64_t>(raft_.get_term().get())},
-                {"leads", raft_.is_leader() ? "yes" : "no"},
-                {"waited_ms", duration(loop_.get_now() - put.received_at)}});
-    Respond(put.answer, kOk, "{}");
-  }
+auto coordinator_daemon::AwaitCommit(log_index index,
+                                     config_number number,
+                                     const response_pointer& answer) -> void {
+  const auto term = raft_.get_term();
+  const auto received_at = loop_.get_now();
+  pending_puts_.Add(index, term, [=, this](bool is_committed) {
+    log_.Write(
+        event_category::state,
+        is_committed ? "config_acknowledged" : "config_outcome_unknown",
+        {{"number", static_cast<std::int64_t>(number.get())},
+         {"index", static_cast<std::int64_t>(index.get())},
+         {"current", static_cast<std::int64_t>(config_.number.get())},
+         {"proposed_in", static_cast<std::int64_t>(term.get())},
+         {"term", static_cast<std::int64_t>(raft_.get_term().get())},
+         {"waited_ms", duration(loop_.get_now() - received_at)}});
+    Respond(answer, is_committed ? kOk : kUnavailable,
+            is_committed ? "{}" : std::string());
+  });
 }
 
 auto coordinator_daemon::Respond(const response_pointer& answer,
@@ -356,7 +361,7 @@
               {"current", static_cast<std::int64_t>(config_.number.get())},
               {"index", static_cast<std::int64_t>(index->get())},
               {"term", static_cast<std::int64_t>(raft_.get_term().get())}});
-  pending_puts_.emplace(*index, pending_put{number, answer, loop_.get_now()});
+  AwaitCommit(*index, number, answer);
 }
 
 auto coordinator_daemon::OnReadConfig(const std::string& target,
@@ -423,12 +428,8 @@
     } else {
       order_executor_.StopLeading();
       drain_acks_.Clear();
-      // The entries may still be committed by the next leader, so the outcome
-      // is unknown.
-      for (const auto& [index, put] : pending_puts_) {
-        Respond(put.answer, kUnavailable, {});
-      }
-      pending_puts_.clear();
+      // The next leader may still commit the entries.
+      pending_puts_.FailAll();
     }
   }
   if (!is_leader) {
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "consensus/pending_proposals.h"
 #include "control/caller_directory.h"
 #include "control/drain_acks.h"
 #include "control/gateway_registry.h"
@@ -43,11 +44,6 @@
     config_number number;
     deflated_bytes body;  // as the operator sent it
   };
-  struct pending_put {
-    config_number number;
-    response_pointer answer;
-    mono_time received_at;
-  };
 
   site_settings settings_;
   event_loop& loop_;
@@ -81,7 +77,7 @@
   std::uint64_t limits_revision_ = 0;
   drain_acks drain_acks_;
   order_executor order_executor_;
-  std::multimap<log_index, pending_put> pending_puts_;
+  pending_proposals pending_puts_;
   // Identifies the registry of one leadership: its revisions and backend
   // indexes are comparable only within the same epoch.
   std::string registry_epoch_;
@@ -108,7 +104,11 @@
   auto SetConfig(const schema::site_snapshot& message) -> void;
   auto ApplySoftware(const schema::site_snapshot& message) -> void;
   auto GetDecodedConfig() -> const site_config*;
-  auto RespondToPuts(log_index applied) -> void;
+  // Answers the operator once it is known whether the proposal at `index` is
+  // committed.
+  auto AwaitCommit(log_index index,
+                   config_number number,
+                   const response_pointer& answer) -> void;
 
   // Calls of operators, backend servers and callers' resolvers.
   auto OnControlCall(incoming_request call, const response_pointer& answer)
