A gateway acts on a configuration only while nothing newer can have to be in force

Cause: a lease without an end. A gateway acted on the last configuration that it had, whatever the age of its last word from the control group; a relay handed out its own replicated copy, behind or not. Change: an answer to a sync says whether its configuration is confirmed: a leader that a majority confirmed lately says so of what it has applied, a relay of what the leader said and when it was asked. config_freshness holds a gateway's configuration for the limit of the site, counted from the sending of the sync less the age that a relay names, so no two clocks are compared. Past it requests are held for up to 0.9 s and then refused with 503, and no route is denied. While no coordinator can be reached, or none knows a leader, a gateway routes on as before, since nothing can be acknowledged then, and says 503 in place of 404. The leader sends relays the configuration with the sync, each 100 ms, not only by Raft. A daemon of an earlier build, which says nothing, confirms with each answer as before.

--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -177,15 +177,14 @@
   const auto term = raft_.get_term();
   const auto received_at = loop_.get_now();
   pending_puts_.Add(index, term, [=, this](bool is_committed) {
-    log_.Write(
-        event_category::state,
-        is_committed ? "config_acknowledged" : "config_outcome_unknown",
-        {{"number", static_cast<std::int64_t>(number.get())},
-         {"index", static_cast<std::int64_t>(index.get())},
-         {"current", static_cast<std::int64_t>(config_.number.get())},
-         {"proposed_in", static_cast<std::int64_t>(term.get())},
-         {"term", static_cast<std::int64_t>(raft_.get_term().get())},
-         {"waited_ms", duration(loop_.get_now() - received_at)}});
+    log_.Write(event_category::state,
+               is_committed ? "config_acknowledged" : "config_outcome_unknown",
+               {{"number", static_cast<std::int64_t>(number.get())},
+                {"index", static_cast<std::int64_t>(index.get())},
+                {"current", static_cast<std::int64_t>(config_.number.get())},
+                {"proposed_in", static_cast<std::int64_t>(term.get())},
+                {"term", static_cast<std::int64_t>(raft_.get_term().get())},
+                {"waited_ms", duration(loop_.get_now() - received_at)}});
     Respond(answer, is_committed ? kOk : kUnavailable,
             is_committed ? "{}" : std::string());
   });
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -21,7 +21,6 @@
 #include "core/backend_registry.h"
 #include "core/metrics.h"
 #include "core/site_settings.h"
-#include "drivers/compression.h"
 #include "drivers/event_log.h"
 #include "drivers/event_loop.h"
 #include "drivers/http_listener.h"
@@ -40,11 +39,6 @@
 // configuration, receives the announcements of backend servers, and serves both
 // to gateways. Callers' resolvers read the directory of gateways from it.
 class coordinator_daemon {
-  struct stored_config {
-    config_number number;
-    deflated_bytes body;  // as the operator sent it
-  };
-
   site_settings settings_;
   event_loop& loop_;
   event_log& log_;
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -285,13 +285,13 @@
   }
 }
 
+// Only a leader that a majority has confirmed lately is sure that no other one
+// has acknowledged a newer configuration.
 auto coordinator_daemon::FillConfig(const schema::sync_request& request,
                                     schema::sync_answer& reply) const -> void {
-  reply.set_config_number(config_.number.get());
-  if (request.have_config() < config_.number.get()) {
-    reply.set_config(config_.body.bytes);
-    reply.set_config_bytes(config_.body.inflated_size);
-  }
+  AddConfig(request, config_, reply);
+  reply.set_states_config(true);
+  reply.set_confirms_config(raft_.IsConfirmedLeader());
 }
 
 // Answers a gateway that syncs with the leader.
@@ -378,7 +378,9 @@
   if (request.wants_gateways()) {
     FillGateways(reply);
   }
-  reply.set_config_number(config_.number.get());
+  if (request.takes_config()) {
+    FillConfig(request, reply);
+  }
 }
 
 auto coordinator_daemon::RecordRelayedGateways(
@@ -428,7 +430,7 @@
   const auto now = loop_.get_now();
   relay_.HandleGatewaySync(request, now);
   relay_.FillGatewayAnswer(request, reply, now);
-  FillConfig(request, reply);
+  relay_.FillConfig(request, config_, reply, now);
 }
 
 auto coordinator_daemon::OnSync(const std::string& body,
@@ -502,6 +504,7 @@
     last_gateway_request_ = now;
   }
   relay_.FillLeaderRequest(request, now);
+  relay_.RequestConfig(request, config_);
   crash_desk_.FillLeaderRequest(request, now);
   const auto streams = origins_.TakeReport(now);
   for (const auto& [origin, keys] : streams.begun) {
@@ -538,6 +541,7 @@
                {{"number", static_cast<std::int64_t>(config_.number.get())},
                 {"leader", static_cast<std::int64_t>(reply.config_number())}});
   }
+  relay_.ApplyConfig(reply, leader_sync_started_);
   relay_.ApplyLeaderAnswer(reply, now);
   crash_desk_.ApplyLeaderAnswer(
       reply,
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -81,6 +81,7 @@
                 [this](std::uint64_t bound) { return random_() % bound; }),
       retries_(MakeRetryOptions(settings_)),
       pending_(kMaxPending),
+      freshness_(settings_.config_limit),
       incarnation_(random_()),
       context_(MakeContext()),
       link_(
@@ -91,6 +92,7 @@
           counters,
           {[this] { return MakeRequest(); },
            [this](const schema::sync_answer& answer) { OnSyncAnswer(answer); },
+           [this] { freshness_.OnContact(loop_.get_now()); },
            [this] { DispatchPending(); },
            [this](std::uint64_t bound) { return random_() % bound; }}) {}
 
@@ -228,6 +230,43 @@
   }
 }
 
+auto gateway_daemon::RecordConfirmation(const schema::sync_answer& answer)
+    -> void {
+  const auto is_sure = !answer.states_config() || answer.confirms_config();
+  const auto is_newest =
+      route_table_ != nullptr &&
+      route_table_->get_config().number.get() >= answer.config_number();
+  if (is_sure && is_newest) {
+    const auto age = std::chrono::milliseconds(answer.config_age_ms());
+    freshness_.OnConfirmed(link_.get_sync_start() - age);
+  }
+  freshness_.OnContact(loop_.get_now());
+  metrics_.Set("ebony_config_age_seconds",
+               std::chrono::duration<double>(freshness_.GetAge(loop_.get_now()))
+                   .count());
+}
+
+auto gateway_daemon::GetConfigStanding() -> config_standing {
+  const auto now = loop_.RefreshNow();
+  const auto standing = freshness_.GetStanding(now);
+  if (standing != logged_standing_) {
+    logged_standing_ = standing;
+    const auto number =
+        route_table_ == nullptr ? 0 : route_table_->get_config().number.get();
+    log_.Write(event_category::state, "config_standing",
+               {{"standing", std::string(GetStandingText(standing))},
+                {"number", static_cast<std::int64_t>(number)},
+                {"age_ms", freshness_.GetAge(now)},
+                {"from", link_.get_peer().get()}});
+  }
+  return standing;
+}
+
+auto gateway_daemon::HasUsableConfig() -> bool {
+  return route_table_ != nullptr &&
+         GetConfigStanding() != config_standing::unconfirmed;
+}
+
 auto gateway_daemon::ApplyRegistry(const schema::sync_answer& answer) -> bool {
   const auto now = loop_.get_now();
   const auto previous = registry_.get_source();
@@ -288,6 +327,7 @@
              // requests
   }
   ApplyConfig(answer);
+  RecordConfirmation(answer);
   if (is_relay_hint) {
     return;
   }
@@ -375,9 +415,18 @@
               {"status", static_cast<std::int64_t>(status)}});
 }
 
+auto gateway_daemon::RejectUnrouted(const request_metadata& metadata,
+                                    const response_pointer& answer) -> void {
+  if (GetConfigStanding() == config_standing::current) {
+    RejectCall(metadata, error_kind::not_found, kNotFound, answer);
+  } else {
+    RejectCall(metadata, error_kind::not_current, kUnavailable, answer);
+  }
+}
+
 auto gateway_daemon::OnCall(incoming_request call,
                             const response_pointer& answer) -> void {
-  if (route_table_ == nullptr) {
+  if (!HasUsableConfig()) {
     DeferCall(std::move(call), answer);
     return;
   }
@@ -385,8 +434,9 @@
   StartSession(std::move(call), std::move(metadata), answer);
 }
 
-// After a restart the configuration usually arrives within a second. A caller
-// that is rejected before that could use up its retries.
+// After a restart the configuration, or after a silence its confirmation,
+// usually arrives within a second. A caller that is rejected before that could
+// use up its retries.
 auto gateway_daemon::DeferCall(incoming_request call,
                                const response_pointer& answer) -> void {
   if (deferred_.size() >= kMaxDeferred) {
@@ -410,7 +460,7 @@
       continue;  // the caller has disconnected
     }
     auto metadata = platform::DecodeCallerRequest(item.call.head);
-    if (route_table_ != nullptr) {
+    if (HasUsableConfig()) {
       StartSession(std::move(item.call), std::move(metadata), item.answer);
     } else if (now >= item.expires_at) {
       RejectCall(metadata, error_kind::not_current, kUnavailable, item.answer);
@@ -426,7 +476,7 @@
                                   const response_pointer& answer) -> void {
   const auto* rule = route_table_->Match(metadata.host, metadata.path);
   if (rule == nullptr) {
-    RejectCall(metadata, error_kind::not_found, kNotFound, answer);
+    RejectUnrouted(metadata, answer);
     return;
   }
   if (rule->retry == retry_policy::resumable && metadata.takes_up_stream) {
@@ -442,7 +492,7 @@
                                  const response_pointer& answer) -> void {
   const auto* rule = route_table_->Match(metadata.host, metadata.path);
   if (rule == nullptr) {
-    RejectCall(metadata, error_kind::not_found, kNotFound, answer);
+    RejectUnrouted(metadata, answer);
     return;
   }
   const auto* service =
@@ -531,8 +581,9 @@
       [this](const incoming_request& call, const response_pointer& answer) {
         auto head = http_head();
         const auto is_readiness = platform::IsReadinessCall(call.head);
+        const auto can_serve = is_ready() && HasUsableConfig();
         head.status = !is_readiness ? kNotFound
-                      : is_ready()  ? kOk
+                      : can_serve   ? kOk
                                     : kUnavailable;
         answer->Respond(std::move(head), {});
       });
--- a/main/gateway_daemon.h
+++ b/main/gateway_daemon.h
@@ -16,6 +16,7 @@
 #include "drivers/event_loop.h"
 #include "drivers/http_listener.h"
 #include "drivers/http_pool.h"
+#include "entry/config_freshness.h"
 #include "entry/crash_guard.h"
 #include "entry/peer_selector.h"
 #include "entry/pending_queue.h"
@@ -63,6 +64,8 @@
   std::map<demand_key, demand_count> demand_;
   first_event_sums first_events_;  // since the latest sync
   route_table_pointer route_table_;
+  config_freshness freshness_;
+  config_standing logged_standing_ = config_standing::current;
   incarnation incarnation_;
   proxy_context context_;
   gateway_link link_;
@@ -72,7 +75,7 @@
   struct deferred_call {
     incoming_request call;
     response_pointer answer;
-    mono_time expires_at;  // rejected if there is no configuration by then
+    mono_time expires_at;  // rejected if it cannot be routed by then
   };
   std::vector<deferred_call> deferred_;
   // A timer that dispatches the queued requests is pending.
@@ -93,6 +96,13 @@
   auto MakeRequest() -> schema::sync_request;
   auto OnSyncAnswer(const schema::sync_answer& answer) -> void;
   auto ApplyConfig(const schema::sync_answer& answer) -> void;
+  // Records whether the answer confirms the configuration at hand.
+  auto RecordConfirmation(const schema::sync_answer& answer) -> void;
+  // Reads the clock, since a request may have been sent after the start of the
+  // current round of events.
+  auto GetConfigStanding() -> config_standing;
+  // Returns true if requests may be routed by the configuration at hand.
+  auto HasUsableConfig() -> bool;
   // Returns true if the answer is the first of another leader or relay.
   auto ApplyRegistry(const schema::sync_answer& answer) -> bool;
   auto ApplyPermits(const schema::sync_answer& answer) -> void;
@@ -153,16 +163,19 @@
   auto ApplyOrigins(const schema::sync_answer& answer, bool is_new_source)
       -> void;
   // Holds a request for a short time that arrives before the first
-  // configuration.
+  // configuration, or while a newer one may be in force.
   auto DeferCall(incoming_request call, const response_pointer& answer) -> void;
   // Starts the deferred requests, or rejects those whose time is up if there is
-  // still no configuration.
+  // still no configuration to route them by.
   auto RunDeferredCalls() -> void;
   // Answers a request that gets no session, and counts it as rejected.
   auto RejectCall(const request_metadata& metadata,
                   error_kind kind,
                   int status,
                   const response_pointer& answer) -> void;
+  // Answers a request that has no route, if the configuration is current.
+  auto RejectUnrouted(const request_metadata& metadata,
+                      const response_pointer& answer) -> void;
   auto ScheduleDispatch() -> void;
   auto DispatchPending() -> void;
   auto CheckDrain() -> void;
--- a/main/gateway_daemon_peers.cc
+++ b/main/gateway_daemon_peers.cc
@@ -89,8 +89,8 @@
   std::erase_if(call.head.fields, [](const http_field& item) {
     return IsSameFieldName(item.name, kHandoverField);
   });
-  const auto is_current = route_table_ != nullptr &&
-                          route_table_->get_config().number >= terms->config;
+  const auto is_current =
+      HasUsableConfig() && route_table_->get_config().number >= terms->config;
   if (!is_current) {
     DeclineHandover(metadata, error_kind::not_current, answer);
     return;
--- a/main/gateway_link.cc
+++ b/main/gateway_link.cc
@@ -95,7 +95,9 @@
   sync_start_ = loop_.get_now();
   const auto to = coordinators_.front();
   const auto body = std::make_shared<std::string>();
+  is_connected_ = false;
   auto hooks = call_hooks();
+  hooks.on_connected = [this] { is_connected_ = true; };
   hooks.on_head = [](const http_head&) { return true; };
   hooks.on_body = [body](std::string_view bytes) { body->append(bytes); };
   hooks.on_complete = [this, to, body] { OnAnswer(to, *body); };
@@ -109,6 +111,9 @@
   timeout_timer_ = loop_.AddTimerIn(kSyncTimeout, [this, to] {
     if (sync_call_ != nullptr) {
       sync_call_->Cancel();
+      if (is_connected_) {
+        hooks_.on_contact();
+      }
       OnFailure(to);
     }
   });
@@ -147,6 +152,7 @@
     MoveToBack(from);
     const auto leader = host_port(answer.leader_link());
     if (leader != host_port() && leader != from) {
+      hooks_.on_contact();
       MoveToFront(leader);
     }
     ScheduleSync(kRetryDelay);
--- a/main/gateway_link.h
+++ b/main/gateway_link.h
@@ -24,6 +24,9 @@
   struct hooks {
     std::function<schema::sync_request()> make_request;
     std::function<void(const schema::sync_answer&)> on_answer;
+    // Called when a coordinator took a connection without answering in time, or
+    // named a leader.
+    std::function<void()> on_contact;
     // Called when a sync was not answered by a leader or relay.
     std::function<void()> on_unanswered;
     // Returns a random number in [0, bound).
@@ -42,7 +45,8 @@
   timer_id timeout_timer_;
   timer_id next_sync_timer_;
   mono_time sync_start_;
-  bool is_synced_ = false;  // the last sync was answered
+  bool is_connected_ = false;  // a connection was made for the current sync
+  bool is_synced_ = false;     // the last sync was answered
   // Of the answer that is handled, or of the last one.
   host_port answered_by_;
   mono_time answered_at_;
@@ -70,6 +74,8 @@
   auto Start() -> void;
   // Schedules a sync ahead of the regular interval, for urgent changes.
   auto SyncSoon() -> void;
+  // Returns when the current or latest sync was sent.
+  auto get_sync_start() const -> mono_time { return sync_start_; }
   // Returns the coordinator that answered last, as the leader or as a relay.
   auto get_peer() const -> const host_port& { return answered_by_; }
   // Returns the time between that answer and the one before.
--- a/main/sync_relay.cc
+++ b/main/sync_relay.cc
@@ -18,6 +18,16 @@
 
 }  // namespace
 
+auto AddConfig(const schema::sync_request& request,
+               const stored_config& config,
+               schema::sync_answer& answer) -> void {
+  answer.set_config_number(config.number.get());
+  if (request.have_config() < config.number.get()) {
+    answer.set_config(config.body.bytes);
+    answer.set_config_bytes(config.body.inflated_size);
+  }
+}
+
 sync_relay::sync_relay(const vm_name& vm) : vm_(vm.get()) {}
 
 auto sync_relay::CanServeGateways(mono_time now) const -> bool {
@@ -134,6 +144,42 @@
       registry_.get_revision());
 }
 
+auto sync_relay::RequestConfig(schema::sync_request& request,
+                               const stored_config& own) const -> void {
+  request.set_takes_config(true);
+  request.set_have_config(GetNewest(own).number.get());
+}
+
+auto sync_relay::ApplyConfig(const schema::sync_answer& answer,
+                             mono_time sent_at) -> void {
+  const auto number = config_number(answer.config_number());
+  if (!answer.config().empty() && number > config_.number) {
+    config_ = {number, {answer.config(), answer.config_bytes()}};
+  }
+  states_config_ = answer.states_config();
+  if (answer.confirms_config()) {
+    confirmed_number_ = number;
+    confirmed_at_ = sent_at;
+  }
+}
+
+auto sync_relay::FillConfig(const schema::sync_request& request,
+                            const stored_config& own,
+                            schema::sync_answer& answer,
+                            mono_time now) const -> void {
+  const auto& newest = GetNewest(own);
+  AddConfig(request, newest, answer);
+  const auto age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - confirmed_at_)
+          .count();
+  answer.set_states_config(states_config_);
+  answer.set_confirms_config(states_config_ &&
+                             confirmed_number_ != config_number() &&
+                             newest.number >= confirmed_number_);
+  // Rounded up, so that the confirmation is never taken for a later one.
+  answer.set_config_age_ms(static_cast<std::uint32_t>(age + 1));
+}
+
 auto sync_relay::FillLeaderRequest(schema::sync_request& request, mono_time now)
     -> void {
   std::erase_if(gateways_, [now](const auto& item) {
--- a/main/sync_relay.h
+++ b/main/sync_relay.h
@@ -13,10 +13,17 @@
 #include "core/service_samples.h"
 #include "main/registry_replica.h"
 #include "main/software_replica.h"
+#include "main/stored_config.h"
 #include "schema/site.pb.h"
 
 namespace ebony {
 
+// Fills in the number of a configuration, and the configuration if it is newer
+// than the requesting daemon's.
+auto AddConfig(const schema::sync_request& request,
+               const stored_config& config,
+               schema::sync_answer& answer) -> void;
+
 // Answers syncs of gateways on behalf of the leader, so that the leader's load
 // does not grow with the number of gateways. Gateways are answered from the
 // leader's last answer, and their reports are aggregated into the relay's own
@@ -46,11 +53,22 @@
   std::uint32_t gateway_count_ = 0;
   mono_time last_answer_;
   bool has_answer_ = false;
+  // The newest configuration that the leader sent; its copy here may be newer
+  // than the one that this coordinator has replicated itself.
+  stored_config config_;
+  bool states_config_ =
+      false;  // the leader's last answer says what it confirms
+  // At that time, nothing newer than this number had been acknowledged.
+  config_number confirmed_number_;
+  mono_time confirmed_at_;
   // A request for a model or adapter that no server holds was reported since
   // the latest sync with the leader.
   bool has_unserved_demand_ = false;
 
   auto GetSource() const -> std::string;
+  auto GetNewest(const stored_config& own) const -> const stored_config& {
+    return config_.number > own.number ? config_ : own;
+  }
   // Returns the load of all gateways.
   auto GetTotalLoads() const -> load_report;
   auto RecordLoads(const schema::sync_request& request, mono_time now) -> void;
@@ -83,6 +101,12 @@
   // Records the state, loads and demands that a gateway reports.
   auto HandleGatewaySync(const schema::sync_request& request, mono_time now)
       -> void;
+  // Fills in the configuration, the newer one of the leader's and `own`, and
+  // whether it is confirmed.
+  auto FillConfig(const schema::sync_request& request,
+                  const stored_config& own,
+                  schema::sync_answer& answer,
+                  mono_time now) const -> void;
   // Fills in the answer to a gateway's sync, except for the configuration.
   auto FillGatewayAnswer(const schema::sync_request& request,
                          schema::sync_answer& answer,
@@ -91,6 +115,13 @@
   // Builds this relay's own sync with the leader from the gateways' reports,
   // and drops gateways that have not synced within `kGatewayTimeout`.
   auto FillLeaderRequest(schema::sync_request& request, mono_time now) -> void;
+  // Tells the leader which configuration is known here, `own` or a newer one.
+  auto RequestConfig(schema::sync_request& request,
+                     const stored_config& own) const -> void;
+  // Takes the configuration from the leader's answer to a request that was sent
+  // at `sent_at`.
+  auto ApplyConfig(const schema::sync_answer& answer, mono_time sent_at)
+      -> void;
   // Applies the leader's answer to the request built last.
   auto ApplyLeaderAnswer(const schema::sync_answer& answer, mono_time now)
       -> void;
--- a/tests/config_acknowledgement_test.cc
+++ b/tests/config_acknowledgement_test.cc
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "consensus/pending_proposals.h"
 #include "tests/coordinator_harness.h"
 
 namespace ebony::testing {
@@ -35,6 +36,26 @@
   BOOST_TEST(answer->status != kOk);
 }
 
+BOOST_AUTO_TEST_CASE(a_proposal_is_known_by_its_index_and_its_term) {
+  const auto outcome_of = [](std::uint64_t index, std::uint64_t term) {
+    auto proposals = pending_proposals();
+    auto outcome = std::string("pending");
+    proposals.Add(log_index(7), term_number(3), [&outcome](bool is_committed) {
+      outcome = is_committed ? "committed" : "unknown";
+    });
+    auto entry = log_entry();
+    entry.index = log_index(index);
+    entry.term = term_number(term);
+    proposals.OnApplied(entry);
+    return outcome;
+  };
+  BOOST_TEST(outcome_of(7, 3) == "committed");
+  BOOST_TEST(outcome_of(7, 4) == "unknown");
+  BOOST_TEST(outcome_of(6, 3) == "pending");
+  // A snapshot that covers the index was installed.
+  BOOST_TEST(outcome_of(9, 4) == "unknown");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -446,8 +446,18 @@
     registry_.Refresh(loop_.get_now());  // the servers go on announcing
   }
   auto reply = schema::sync_answer();
-  reply.set_is_leader(true);
+  reply.set_is_leader(has_leader_);
+  if (!has_leader_) {
+    auto head = http_head();
+    head.status = 200;
+    answer->Respond(std::move(head), reply.SerializeAsString());
+    return;
+  }
   reply.set_config_number(config_number_);
+  reply.set_states_config(true);
+  reply.set_confirms_config(confirms_config_);
+  reply.set_config_age_ms(static_cast<std::uint32_t>(
+      std::chrono::duration_cast<milliseconds>(config_age_).count()));
   if (request.have_config() < config_number_) {
     const auto deflated = Deflate(config_);
     reply.set_config(deflated.bytes);
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -148,6 +148,9 @@
   std::vector<std::shared_ptr<caller>> callers_;
   std::uint64_t sequence_ = 0;
   bool is_coordinator_silent_ = false;
+  bool confirms_config_ = true;
+  duration config_age_{0};  // of the confirmations
+  bool has_leader_ = true;
   stream_origin_table origins_;  // as reported by gateways
   bool knows_origins_ = true;
   software_versions software_;  // of all servers so far
@@ -228,6 +231,16 @@
   auto SetCoordinatorSilent(bool is_silent) -> void {
     is_coordinator_silent_ = is_silent;
   }
+  // While unset, the coordinator is not sure that it knows the newest
+  // configuration. Otherwise its confirmations are `age` old.
+  auto SetConfirms(bool confirms, duration age = duration(0)) -> void {
+    confirms_config_ = confirms;
+    config_age_ = age;
+  }
+  // While unset, the coordinator answers that there is no leader.
+  auto SetHasLeader(bool has_leader) -> void { has_leader_ = has_leader; }
+  // The coordinator refuses connections.
+  auto StopCoordinator() -> void { coordinator_.reset(); }
   // While unset, the coordinator neither learns nor tells what began streams.
   auto SetKnowsOrigins(bool knows) -> void { knows_origins_ = knows; }
   // The coordinator is sure to lead, and its registry is current.
--- a/tests/sync_relay_test.cc
+++ b/tests/sync_relay_test.cc
@@ -110,6 +110,32 @@
   }
 };
 
+// A relay answers for the leader: what it has not got, or was not told lately,
+// it does not confirm.
+struct config_relay_fixture : relay_fixture {
+  stored_config own{config_number(3), {"three", 5}};
+
+  auto TakeLeaderAnswer(std::uint64_t number,
+                        const std::string& body,
+                        bool confirms) -> void {
+    auto answer = schema::sync_answer();
+    answer.set_config_number(number);
+    answer.set_config(body);
+    answer.set_config_bytes(body.size());
+    answer.set_states_config(true);
+    answer.set_confirms_config(confirms);
+    relay.ApplyConfig(answer, now);
+  }
+
+  auto AnswerGateway(std::uint64_t have) -> schema::sync_answer {
+    auto request = schema::sync_request();
+    request.set_have_config(have);
+    auto answer = schema::sync_answer();
+    relay.FillConfig(request, own, answer, now);
+    return answer;
+  }
+};
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(sync_relay_rules, relay_fixture)
@@ -308,4 +334,42 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(config_relay, config_relay_fixture)
+
+BOOST_AUTO_TEST_CASE(a_relay_one_version_behind_confirms_nothing) {
+  TakeLeaderAnswer(5, "", true);
+  const auto answer = AnswerGateway(3);
+  BOOST_TEST(answer.config_number() == 3U);
+  BOOST_TEST(answer.states_config());
+  BOOST_TEST(!answer.confirms_config());
+}
+
+BOOST_AUTO_TEST_CASE(a_relay_passes_on_what_it_has_not_replicated) {
+  TakeLeaderAnswer(5, "five", true);
+  const auto answer = AnswerGateway(3);
+  BOOST_TEST(answer.config_number() == 5U);
+  BOOST_TEST(answer.config() == "five");
+  BOOST_TEST(answer.confirms_config());
+  auto request = schema::sync_request();
+  relay.RequestConfig(request, own);
+  BOOST_TEST(request.have_config() == 5U);
+  TakeLeaderAnswer(4, "four", false);  // a leader that was deposed
+  BOOST_TEST(AnswerGateway(3).config_number() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(a_confirmation_ages_from_when_the_leader_was_asked) {
+  TakeLeaderAnswer(3, "", true);
+  now += milliseconds(400);
+  TakeLeaderAnswer(3, "", false);
+  const auto answer = AnswerGateway(3);
+  BOOST_TEST(answer.confirms_config());
+  BOOST_TEST(answer.config_age_ms() >= 400U);
+}
+
+BOOST_AUTO_TEST_CASE(a_relay_that_was_told_nothing_confirms_nothing) {
+  BOOST_TEST(!AnswerGateway(3).confirms_config());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace ebony::testing
