Streams begin at a new software version once no gateway can take another for the only one

It can happen here: a gateway whose last word of a sure leader was up to 2,500 ms old still took the only version that it knew for the one that began a stream of unknown origin, while others began streams at the new one as soon as they heard of a server. Change: what a gateway knows counts as the whole set for 1,000 ms after a confirmation of the leader, counted from its question, by a fresh reading of the clock (a gateway that stood still). For as long a gateway begins no resumable stream at a version that is new to the set; leader and relays say for how long they have known each, so that a restarted gateway does not wait, and a version that is the only one of its service never waits. Evidence: stream_versions/a_gateway_out_of_step_goes_on_with_no_unknown_stream and a_new_version_begins_no_stream_until_all_know_of_it.

--- a/codec/site_codec.cc
+++ b/codec/site_codec.cc
@@ -175,7 +175,9 @@
 
 auto AddSoftwareVersions(schema::sync_answer& answer,
                          const schema::sync_request& request,
-                         const software_versions* versions) -> void {
+                         const software_versions* versions,
+                         const version_times& times,
+                         mono_time now) -> void {
   if (versions == nullptr) {
     return;
   }
@@ -184,7 +186,11 @@
     return;
   }
   for (const auto& item : versions->get_items()) {
-    *answer.add_software() = ToSchema(item);
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        times.GetAge(item, now));
+    auto* row = answer.add_software();
+    *row = ToSchema(item);
+    row->set_known_ms(static_cast<std::uint32_t>(age.count()));
   }
 }
 
--- a/codec/site_codec.h
+++ b/codec/site_codec.h
@@ -13,6 +13,7 @@
 #include "core/service_samples.h"
 #include "core/software_versions.h"
 #include "core/stream_origin.h"
+#include "core/version_times.h"
 #include "schema/site.pb.h"
 
 namespace ebony {
@@ -68,7 +69,9 @@
 // stands for a set that is not known.
 auto AddSoftwareVersions(schema::sync_answer& answer,
                          const schema::sync_request& request,
-                         const software_versions* versions) -> void;
+                         const software_versions* versions,
+                         const version_times& times,
+                         mono_time now) -> void;
 
 auto ToSchema(const crash_report& report) -> schema::crash_record_row;
 auto ToDomain(const schema::crash_record_row& row) -> crash_report;
--- a/entry/config_freshness.cc
+++ b/entry/config_freshness.cc
@@ -26,7 +26,7 @@
 }
 
 auto config_freshness::GetStanding(mono_time now) const -> config_standing {
-  if (is_confirmed_ && now - confirmed_at_ < limit_) {
+  if (IsConfirmedWithin(limit_, now)) {
     return config_standing::current;
   }
   return now - last_contact_ < kContactMemory ? config_standing::unconfirmed
--- a/entry/config_freshness.h
+++ b/entry/config_freshness.h
@@ -47,6 +47,10 @@
   auto OnContact(mono_time now) -> void;
 
   auto GetStanding(mono_time now) const -> config_standing;
+  // Returns true if the latest confirmation is younger than `age`.
+  auto IsConfirmedWithin(duration age, mono_time now) const -> bool {
+    return is_confirmed_ && now - confirmed_at_ < age;
+  }
   // Returns the time since the latest confirmation holds; 0 if there was none.
   auto GetAge(mono_time now) const -> duration;
 };
--- a/entry/server_selector.cc
+++ b/entry/server_selector.cc
@@ -239,6 +239,7 @@
   auto has_server = false;
   auto has_version = false;
   auto has_unreachable = false;
+  auto has_unsettled = false;  // software where the request may begin soon
   auto pause_left = std::optional<duration>();
   const auto are_closed = are_paths_closed_ && !query.ignores_closed_paths;
   for (const auto& [id, record] : registry_.get_records()) {
@@ -257,6 +258,10 @@
       continue;
     }
     has_version = true;
+    if (query.may_begin_at && !query.may_begin_at(status.software)) {
+      has_unsettled = true;
+      continue;
+    }
     if (!HoldsModel(status, query) ||
         (query.avoid != nullptr && query.avoid->contains(id))) {
       continue;
@@ -284,6 +289,9 @@
     // Suspected servers are used only as a last resort.
     candidates = std::move(suspected);
   }
+  if (candidates.empty() && has_unsettled) {
+    return {server_verdict::busy};
+  }
   if (candidates.empty()) {
     const auto verdict = has_version  ? server_verdict::no_replica
                          : has_server ? server_verdict::no_version
--- a/entry/server_selector.h
+++ b/entry/server_selector.h
@@ -72,6 +72,9 @@
   // paths to the servers are closed.
   bool ignores_closed_paths = false;
   const std::set<backend_name>* avoid = nullptr;  // tried before; may be null
+  // Returns true if the request may begin at a server that runs this software
+  // now; empty: it may at any.
+  std::function<bool(const software_version&)> may_begin_at = {};
 };
 
 enum class server_verdict {
--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -99,6 +99,7 @@
     }
     SetConfig(message);
     software_ = ToSoftwareVersions(message.software());
+    software_times_.Update(software_, loop_.get_now());
   };
   return state;
 }
@@ -168,6 +169,7 @@
       log_change(ToDomain(row), "software_forgotten");
     }
   }
+  software_times_.Update(software_, loop_.get_now());
   is_census_due_ = true;
 }
 
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -21,6 +21,7 @@
 #include "core/backend_registry.h"
 #include "core/metrics.h"
 #include "core/site_settings.h"
+#include "core/version_times.h"
 #include "drivers/event_log.h"
 #include "drivers/event_loop.h"
 #include "drivers/http_listener.h"
@@ -46,6 +47,7 @@
   http_pool pool_;
   stored_config config_;
   software_versions software_;  // replicated
+  version_times software_times_;
   std::unique_ptr<site_config> decoded_config_;
   raft_node raft_;
   backend_registry registry_;
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -312,7 +312,8 @@
   RecordPermitRequests(request);
   AddLoads(*reply.mutable_loads(), load_totals_.GetReport());
   FillRegistry(request, reply);
-  AddSoftwareVersions(reply, request, GetCurrentSoftware());
+  AddSoftwareVersions(reply, request, GetCurrentSoftware(), software_times_,
+                      loop_.get_now());
   FillPermits(vm_name(request.vm()), reply);
   FillConfig(request, reply);
   FillRelays(reply);
@@ -370,7 +371,8 @@
   RecordLoads(request);
   RecordPermitRequests(request);
   FillRegistry(request, reply);
-  AddSoftwareVersions(reply, request, GetCurrentSoftware());
+  AddSoftwareVersions(reply, request, GetCurrentSoftware(), software_times_,
+                      loop_.get_now());
   FillPermits(vm_name(request.vm()), reply);
   if (reply.gateway_count() > sync_relay::kMaxDirectGateways) {
     AddLoads(*reply.mutable_loads(), load_totals_.GetReport());
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -122,6 +122,9 @@
       [this](const backend_name& id, std::uint64_t start_time_ms) {
         OnServerLeaving(id, start_time_ms);
       },
+      [this](const stream_origin& origin) {
+        return versions_.IsSettled(origin, loop_.get_now());
+      },
       [this] {
         return is_draining_ &&
                loop_.get_now() - drain_start_ > kStreamAcceptTime;
@@ -331,7 +334,7 @@
   if (is_relay_hint) {
     return;
   }
-  versions_.ApplyAnswer(answer);
+  versions_.ApplyAnswer(answer, loop_.get_now());
   ApplyOrigins(answer, ApplyRegistry(answer));
   auto loads = std::map<backend_name, server_load>();
   ForEachLoad(answer.loads(), registry_.get_index(),
--- a/main/gateway_daemon_streams.cc
+++ b/main/gateway_daemon_streams.cc
@@ -10,9 +10,6 @@
 
 namespace {
 
-// Longest time without an answer of a sure leader for which the software
-// versions that it listed still count as all that there are.
-constexpr duration kMaxVersionsAge = std::chrono::milliseconds(2500);
 constexpr int kUnavailable = 503;
 
 }  // namespace
@@ -33,8 +30,10 @@
 
 auto gateway_daemon::FindOnlySoftware(const route_rule& rule) const
     -> std::optional<stream_origin> {
+  const auto now = loop_.RefreshNow();
   const auto is_current =
-      permits_.GetContactAge(loop_.get_now()) <= kMaxVersionsAge;
+      permits_.GetContactAge(now) < software_replica::kMaxAge &&
+      freshness_.IsConfirmedWithin(software_replica::kMaxAge, now);
   const auto* versions = versions_.Get();
   if (rule.targets.size() != 1 || !is_current || versions == nullptr) {
     return std::nullopt;
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -105,6 +105,11 @@
   query.avoid = &tried_servers_;
   query.ignores_closed_paths = !CanHandOver();
   query.software = origin_ ? &origin_->software : nullptr;
+  if (!origin_ && rule_.retry == retry_policy::resumable) {
+    query.may_begin_at = [this](const software_version& software) {
+      return context_.may_begin_at({service_.name, software});
+    };
+  }
   return query;
 }
 
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -77,6 +77,9 @@
   std::function<void()> on_capacity_freed;
   // Called when a start of a server says that it is about to stop.
   std::function<void(const backend_name&, std::uint64_t)> on_server_leaving;
+  // Returns true if a stream that other gateways may take up can begin at this
+  // software version now.
+  std::function<bool(const stream_origin&)> may_begin_at;
   // Returns true while new streams are rejected, late in a drain.
   std::function<bool()> rejects_streams;
   std::size_t active_sessions = 0;  // sessions without a final answer
--- a/main/sync_relay.cc
+++ b/main/sync_relay.cc
@@ -137,7 +137,7 @@
     row->set_number(index.GetNumber(record->status.id));
   }
   AddLoads(*answer.mutable_loads(), GetTotalLoads());
-  AddSoftwareVersions(answer, request, software_.Get());
+  software_.FillAnswer(request, answer, now);
   answer.set_grants_permits(has_permits_);
   AddPermits(answer, permits_.Take(vm_name(request.vm()), now), index);
   gateways_[vm_name(request.vm())].row.set_told_roster(
@@ -227,7 +227,7 @@
     own_loads_.Clear();
     reported_loads_.Clear();
   }
-  software_.ApplyAnswer(answer);
+  software_.ApplyAnswer(answer, now);
   other_loads_ = GetLoadReport(answer.loads(), registry_.get_index());
   for (auto& [number, amount] : other_loads_) {
     const auto own = reported_loads_.Get(number);
--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -488,7 +488,14 @@
        census_.Plan(registry_, software_, loop_.get_now()).added) {
     software_.Add(item);
   }
-  AddSoftwareVersions(reply, request, &software_);
+  software_times_.Update(software_, loop_.get_now());
+  for (const auto& item : software_.get_items()) {
+    const auto age =
+        knows_versions_long_ ? software_replica::kMaxAge : duration(0);
+    software_times_.OnTold(item, age, loop_.get_now());
+  }
+  AddSoftwareVersions(reply, request, &software_, software_times_,
+                      loop_.get_now());
   reply.set_grants_permits(is_sure_leader_);
   reply.set_gateway_count(1);
   reply.set_served_gateways(1);
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -151,9 +151,11 @@
   bool confirms_config_ = true;
   duration config_age_{0};  // of the confirmations
   bool has_leader_ = true;
+  bool knows_versions_long_ = true;
   stream_origin_table origins_;  // as reported by gateways
   bool knows_origins_ = true;
   software_versions software_;  // of all servers so far
+  version_times software_times_;
   software_census census_;
   bool is_sure_leader_ = false;
   bool leaves_registry_to_relays_ = false;
@@ -237,6 +239,10 @@
     confirms_config_ = confirms;
     config_age_ = age;
   }
+  // While unset, a software version that appears is new to the coordinator.
+  auto SetKnowsVersionsLong(bool knows) -> void {
+    knows_versions_long_ = knows;
+  }
   // While unset, the coordinator answers that there is no leader.
   auto SetHasLeader(bool has_leader) -> void { has_leader_ = has_leader; }
   // The coordinator refuses connections.
--- a/tests/software_census_test.cc
+++ b/tests/software_census_test.cc
@@ -24,6 +24,7 @@
   backend_registry registry{backend_registry_options()};
   software_versions versions;
   software_census census;
+  version_times times;
 
   auto Announce(const std::string& id,
                 const std::string& software,
@@ -123,8 +124,8 @@
     auto request = schema::sync_request();
     replica.FillRequest(request);
     auto answer = schema::sync_answer();
-    AddSoftwareVersions(answer, request, known);
-    replica.ApplyAnswer(answer);
+    AddSoftwareVersions(answer, request, known, times, now);
+    replica.ApplyAnswer(answer, now);
     return answer.software_size();
   };
   BOOST_TEST(sync(&versions) == 1);
@@ -142,10 +143,10 @@
   versions.Add(MakeOrigin("v1"));
   versions.Add(MakeOrigin("v2"));
   auto answer = schema::sync_answer();
-  AddSoftwareVersions(answer, schema::sync_request(), &versions);
+  AddSoftwareVersions(answer, schema::sync_request(), &versions, times, now);
   answer.mutable_software()->RemoveLast();
   auto replica = software_replica();
-  replica.ApplyAnswer(answer);
+  replica.ApplyAnswer(answer, now);
   BOOST_TEST((replica.Get() == nullptr));
 }
 
@@ -153,7 +154,7 @@
   versions.Add(MakeOrigin("v1"));
   auto relay = sync_relay(vm_name("core-2"));
   auto answer = schema::sync_answer();
-  AddSoftwareVersions(answer, schema::sync_request(), &versions);
+  AddSoftwareVersions(answer, schema::sync_request(), &versions, times, now);
   relay.ApplyLeaderAnswer(answer, now);
   auto passed = schema::sync_answer();
   relay.FillGatewayAnswer(schema::sync_request(), passed, now);
--- a/tests/stream_version_test.cc
+++ b/tests/stream_version_test.cc
@@ -196,6 +196,45 @@
   BOOST_TEST(CountReceived(site) == 2U);
 }
 
+// A gateway that has not heard of the new version would go on with its streams
+// at the former one.
+BOOST_AUTO_TEST_CASE(a_new_version_begins_no_stream_until_all_know_of_it) {
+  auto site = gateway_harness(2);
+  site.SetKnowsVersionsLong(false);
+  site.SetSoftware(1, "v2");
+  for (auto i = 0; i < 6; ++i) {
+    site.servers[0]->AddScript(MakeStream(1, 4, true));
+    site.servers[1]->AddScript(MakeStream(1, 4, true));
+    const auto answer =
+        site.Send(MakeRequest("resume", "early-" + std::to_string(i)));
+    RunUntilEnded(site, answer);
+    BOOST_TEST(IsWhole(*answer));
+  }
+  BOOST_TEST(site.servers[1]->get_received().empty());
+  // What no other gateway can go on with begins there at once.
+  for (auto i = 0; i < 6; ++i) {
+    site.Send(MakeRequest("stream", "plain-" + std::to_string(i)));
+  }
+  site.RunUntil([&] { return !site.servers[1]->get_received().empty(); });
+  site.RunFor(software_replica::kMaxAge);
+  site.SetLeaving(0);
+  const auto late = site.Send(MakeRequest("resume", "late"));
+  RunUntilEnded(site, late);
+  BOOST_TEST(IsWhole(*late));
+}
+
+// It was cut off, or stood still, while servers of a new version joined.
+BOOST_AUTO_TEST_CASE(a_gateway_out_of_step_goes_on_with_no_unknown_stream) {
+  auto site = gateway_harness(2);
+  site.SetKnowsOrigins(false);
+  site.SetSureLeader(true);
+  site.RunFor(std::chrono::milliseconds(200));
+  site.SetCoordinatorSilent(true);
+  site.RunFor(software_replica::kMaxAge + std::chrono::milliseconds(100));
+  BOOST_TEST(IsTrueRefusal(*TakeUp(site, "unheard", "second")));
+  BOOST_TEST(CountReceived(site) == 0U);
+}
+
 // All gateways were killed before they could report what began the stream, and
 // the only server of its version has started again at another one.
 BOOST_AUTO_TEST_CASE(a_version_that_no_server_runs_any_more_still_counts) {
