Requests late in the grace of a planned stop are refused unsent

Here they get 502 at the end, so not without an answer, but what may not be repeated is lost to its caller all the same; and a request that was held, for a configuration or for the origin of its stream, was dropped without an answer when the process ended. Change: from 6.5 s after SIGTERM, when no caller should still use the address, requests are refused with 503 and reach no server; what is held is refused before the end, and a gateway with a question under way is not idle.

--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -28,6 +28,9 @@
 // Minimum time to serve after SIGTERM: callers may use a cached answer of the
 // directory for this long.
 constexpr duration kMinDrainTime = std::chrono::milliseconds(6500);
+// Requests that arrive later than this after SIGTERM are rejected, since they
+// may not end within the stop grace period.
+constexpr duration kRequestAcceptTime = kMinDrainTime;
 // Requests in flight are aborted this long before the stop grace period ends.
 constexpr duration kAbortMargin = std::chrono::milliseconds(350);
 // The process ends this long before the stop grace period does, even if callers
@@ -429,6 +432,11 @@
 
 auto gateway_daemon::OnCall(incoming_request call,
                             const response_pointer& answer) -> void {
+  if (!TakesRequests()) {
+    RejectCall(platform::DecodeCallerRequest(call.head), error_kind::draining,
+               kUnavailable, answer);
+    return;
+  }
   if (!HasUsableConfig()) {
     DeferCall(std::move(call), answer);
     return;
@@ -611,8 +619,18 @@
          (peer_listener_ == nullptr ? 0 : peer_listener_->GetUnsentBytes());
 }
 
+auto gateway_daemon::TakesRequests() const -> bool {
+  return !is_draining_ || loop_.get_now() - drain_start_ < kRequestAcceptTime;
+}
+
 auto gateway_daemon::StopSessions() -> void {
   caller_listener_->StopAccepting();
+  for (const auto& item : std::exchange(deferred_, {})) {
+    if (!item.answer->is_final()) {
+      RejectCall(platform::DecodeCallerRequest(item.call.head),
+                 error_kind::draining, kUnavailable, item.answer);
+    }
+  }
   const auto sessions = sessions_;
   for (const auto& item : sessions) {
     if (const auto session = item.lock()) {
@@ -630,8 +648,9 @@
 // that callers have not taken in full.
 auto gateway_daemon::CheckDrain() -> void {
   const auto elapsed = loop_.get_now() - drain_start_;
-  const auto is_idle =
-      elapsed >= kMinDrainTime && context_.active_sessions == 0;
+  const auto is_idle = elapsed >= kMinDrainTime &&
+                       context_.active_sessions == 0 && deferred_.empty() &&
+                       !origins_.HasQuestions();
   const auto is_expired = elapsed >= settings_.stop_grace - kAbortMargin;
   if (is_drained_ || (!is_idle && !is_expired)) {
     return;
--- a/main/gateway_daemon.h
+++ b/main/gateway_daemon.h
@@ -178,6 +178,8 @@
                       const response_pointer& answer) -> void;
   auto ScheduleDispatch() -> void;
   auto DispatchPending() -> void;
+  // Returns false late in a drain.
+  auto TakesRequests() const -> bool;
   auto CheckDrain() -> void;
   auto StopSessions() -> void;
   auto GetUnsentBytes() -> std::size_t;
--- a/main/gateway_daemon_peers.cc
+++ b/main/gateway_daemon_peers.cc
@@ -95,6 +95,10 @@
     DeclineHandover(metadata, error_kind::not_current, answer);
     return;
   }
+  if (!TakesRequests()) {
+    DeclineHandover(metadata, error_kind::draining, answer);
+    return;
+  }
   if (paths_.is_closed()) {
     DeclineHandover(metadata, error_kind::backend_unreachable, answer);
     return;
