--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -49,13 +49,20 @@
 coordinator_daemon::coordinator_daemon(site_settings settings,
                                        event_loop& loop,
                                        event_log& log,
-                                       metrics& counters)
+                                       metrics& counters,
+                                       disk_write write)
     : settings_(std::move(settings)),
       loop_(loop),
       log_(log),
       metrics_(counters),
       pool_(loop),
-      raft_(settings_, loop, pool_, log, counters, MakeStateMachine()),
+      raft_(settings_,
+            loop,
+            pool_,
+            log,
+            counters,
+            MakeStateMachine(),
+            std::move(write)),
       registry_(backend_registry_options()),
       directory_(
           [random = std::make_shared<std::mt19937_64>(MakeRandomNumber())](
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -200,7 +200,8 @@
   coordinator_daemon(site_settings settings,
                      event_loop& loop,
                      event_log& log,
-                     metrics& counters);
+                     metrics& counters,
+                     disk_write write = ::write);
 
   // Opens the disk. Throws ebony_error while it does not work.
   auto Open() -> void;
--- a/main/raft_node.cc
+++ b/main/raft_node.cc
@@ -52,14 +52,15 @@
                      http_pool& pool,
                      event_log& log,
                      metrics& counters,
-                     replicated_state_machine state)
+                     replicated_state_machine state,
+                     disk_write write)
     : settings_(settings),
       loop_(loop),
       pool_(pool),
       log_(log),
       metrics_(counters),
       state_(std::move(state)),
-      disk_(settings.data_folder) {
+      disk_(settings.data_folder, std::move(write)) {
   for (const auto& seed : settings_.seeds) {
     known_link_addresses_.push_back(
         GetLinkAddress(node_id(seed.get() + kFirstDiskSuffix)));
--- a/main/raft_node.h
+++ b/main/raft_node.h
@@ -94,7 +94,8 @@
             http_pool& pool,
             event_log& log,
             metrics& counters,
-            replicated_state_machine state);
+            replicated_state_machine state,
+            disk_write write = ::write);
 
   // Loads the disk, or creates a new identity on an empty one. Throws
   // ebony_error while the disk does not work.
