A relay sends away the gateways beyond two even shares

Cause: the relays that a new leader knows first get all gateways, also at the first start, and keep them: 119 and 134 of 258 at two of eight relays, 2 or 3 at others, so that most gateways synced once in 1.2 s instead of 0.3 s and got a configuration as late. Change: relay_shedder; the leader lists the relays in each list of gateways, 0.2 kB in 400 ms a follower; a relay above twice its even share offers them to a gateway in every second sync on average of those too many.

--- a/codec/site_codec.cc
+++ b/codec/site_codec.cc
@@ -194,6 +194,16 @@
   }
 }
 
+auto GetRelays(const schema::sync_answer& answer)
+    -> std::vector<relay_address> {
+  auto relays = std::vector<relay_address>();
+  for (const auto& row : answer.relays()) {
+    relays.push_back(
+        {host_port(row.link()), data_centre_name(row.data_centre())});
+  }
+  return relays;
+}
+
 auto ToSchema(const crash_report& report) -> schema::crash_record_row {
   const auto& record = report.record;
   auto row = schema::crash_record_row();
--- a/codec/site_codec.h
+++ b/codec/site_codec.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "control/load_totals.h"
+#include "control/relay_shedder.h"
 #include "core/backend_index.h"
 #include "core/backend_registry.h"
 #include "core/crash_ledger.h"
@@ -76,6 +77,8 @@
 auto ToSchema(const crash_report& report) -> schema::crash_record_row;
 auto ToDomain(const schema::crash_record_row& row) -> crash_report;
 
+auto GetRelays(const schema::sync_answer& answer) -> std::vector<relay_address>;
+
 // Appends the keys of one gateway.
 auto AddTrials(schema::trial_row& row,
                const vm_name& vm,
--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -44,6 +44,12 @@
   return std::uniform_int_distribution<std::uint64_t>()(source);
 }
 
+// Returns a source of random numbers in [0, bound).
+auto MakeRandomSource() -> std::function<std::uint64_t(std::uint64_t)> {
+  auto random = std::make_shared<std::mt19937_64>(MakeRandomNumber());
+  return [random](std::uint64_t bound) { return (*random)() % bound; };
+}
+
 }  // namespace
 
 coordinator_daemon::coordinator_daemon(site_settings settings,
@@ -64,9 +70,7 @@
             MakeStateMachine(),
             std::move(write)),
       registry_(backend_registry_options()),
-      directory_(
-          [random = std::make_shared<std::mt19937_64>(MakeRandomNumber())](
-              std::uint64_t bound) { return (*random)() % bound; }),
+      directory_(MakeRandomSource()),
       crash_desk_(MakeRandomNumber()),
       order_executor_(
           settings_,
@@ -83,7 +87,7 @@
           [this] {
             loop_.AddTimerIn(duration(0), [this] { ExecuteOrders(); });
           }),
-      relay_(settings_.vm) {}
+      relay_(settings_.vm, MakeRandomSource()) {}
 
 auto coordinator_daemon::MakeStateMachine() -> replicated_state_machine {
   auto state = replicated_state_machine();
--- a/main/sync_relay.cc
+++ b/main/sync_relay.cc
@@ -28,7 +28,9 @@
   }
 }
 
-sync_relay::sync_relay(const vm_name& vm) : vm_(vm.get()) {}
+sync_relay::sync_relay(const vm_name& vm,
+                       std::function<std::uint64_t(std::uint64_t)> random)
+    : vm_(vm.get()), shedder_(std::move(random)) {}
 
 auto sync_relay::CanServeGateways(mono_time now) const -> bool {
   return has_answer_ && gateway_count_ > kMaxDirectGateways &&
@@ -142,6 +144,13 @@
   AddPermits(answer, permits_.Take(vm_name(request.vm()), now), index);
   gateways_[vm_name(request.vm())].row.set_told_roster(
       registry_.get_revision());
+  if (shedder_.MustLeave(gateways_.size(), gateway_count_)) {
+    for (const auto& relay : shedder_.get_others()) {
+      auto* row = answer.add_relays();
+      row->set_link(relay.link.get());
+      row->set_data_centre(relay.data_centre.get());
+    }
+  }
 }
 
 auto sync_relay::RequestConfig(schema::sync_request& request,
@@ -182,6 +191,7 @@
 
 auto sync_relay::FillLeaderRequest(schema::sync_request& request, mono_time now)
     -> void {
+  own_link_ = host_port(request.relay_link());
   std::erase_if(gateways_, [now](const auto& item) {
     return now - item.second.last_sync > kGatewayTimeout;
   });
@@ -237,6 +247,9 @@
   has_permits_ = answer.grants_permits();
   permits_.OnGranted(GetPermits(answer, registry_.get_index()), now);
   gateway_count_ = answer.gateway_count();
+  if (answer.relays_size() > 0) {
+    shedder_.SetRelays(GetRelays(answer), own_link_);
+  }
   last_answer_ = now;
   has_answer_ = true;
 }
--- a/main/sync_relay.h
+++ b/main/sync_relay.h
@@ -2,6 +2,7 @@
 #define EBONY_MAIN_SYNC_RELAY_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -9,6 +10,7 @@
 
 #include "control/load_totals.h"
 #include "control/permit_relay.h"
+#include "control/relay_shedder.h"
 #include "core/ids.h"
 #include "core/service_samples.h"
 #include "main/registry_replica.h"
@@ -51,6 +53,8 @@
   permit_relay permits_;
   bool has_permits_ = false;  // the leader's last answer was sure to lead
   std::uint32_t gateway_count_ = 0;
+  host_port own_link_;  // at which gateways reach this relay
+  relay_shedder shedder_;
   mono_time last_answer_;
   bool has_answer_ = false;
   // The newest configuration that the leader sent; its copy here may be newer
@@ -83,8 +87,10 @@
   // coordinator serves it by now.
   static constexpr duration kGatewayTimeout = std::chrono::milliseconds(1500);
 
-  // `vm` is the VM of this coordinator.
-  explicit sync_relay(const vm_name& vm);
+  // `vm` is the VM of this coordinator. `random` returns a number in
+  // [0, bound).
+  sync_relay(const vm_name& vm,
+             std::function<std::uint64_t(std::uint64_t)> random);
 
   // Returns true if this relay may answer gateways: there are more of them than
   // the leader serves directly, and the leader's last answer is not stale.
--- a/tests/coordinator_parts_test.cc
+++ b/tests/coordinator_parts_test.cc
@@ -5,6 +5,7 @@
 #include "control/drain_acks.h"
 #include "control/gateway_registry.h"
 #include "control/load_totals.h"
+#include "control/relay_shedder.h"
 #include "control/transfer_limiter.h"
 #include "core/error_kind.h"
 #include "drivers/compression.h"
@@ -51,6 +52,23 @@
              boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(a_relay_sends_away_what_is_beyond_two_even_shares) {
+  auto random = std::uint64_t{0};
+  auto shedder = relay_shedder([&random](std::uint64_t) { return random; });
+  BOOST_TEST(!shedder.MustLeave(291, 291));  // it knows no other relay
+  auto relays = std::vector<relay_address>();
+  for (auto i = 0; i < 8; ++i) {
+    relays.push_back({host_port("10.0.0." + std::to_string(i) + ":1"),
+                      data_centre_name("z1")});
+  }
+  shedder.SetRelays(relays, host_port("10.0.0.3:1"));
+  BOOST_TEST(shedder.get_others().size() == 7U);
+  BOOST_TEST(!shedder.MustLeave(72, 291));
+  BOOST_TEST(shedder.MustLeave(134, 291));
+  random = 62;  // of 268: the excess of 134 over 72
+  BOOST_TEST(!shedder.MustLeave(134, 291));
+}
+
 BOOST_AUTO_TEST_CASE(totals_are_the_sum_of_the_newest_reports) {
   auto generator = std::mt19937_64(3);
   auto totals = load_totals();
--- a/tests/software_census_test.cc
+++ b/tests/software_census_test.cc
@@ -152,7 +152,7 @@
 
 BOOST_AUTO_TEST_CASE(a_relay_passes_the_set_on) {
   versions.Add(MakeOrigin("v1"));
-  auto relay = sync_relay(vm_name("core-2"));
+  auto relay = sync_relay(vm_name("core-2"), [](std::uint64_t) { return 0U; });
   auto answer = schema::sync_answer();
   AddSoftwareVersions(answer, schema::sync_request(), &versions, times, now);
   relay.ApplyLeaderAnswer(answer, now);
--- a/tests/sync_cost_test.cc
+++ b/tests/sync_cost_test.cc
@@ -38,7 +38,7 @@
 // one gateway that syncs with it.
 class relay_site {
   mono_time now_ = mono_time(std::chrono::hours(1));
-  sync_relay relay_{vm_name("core-2")};
+  sync_relay relay_{vm_name("core-2"), [](std::uint64_t) { return 0U; }};
   registry_replica replica_;
 
  public:
--- a/tests/sync_relay_test.cc
+++ b/tests/sync_relay_test.cc
@@ -20,7 +20,7 @@
   backend_index index;
   std::string source = "leader/1";
   std::uint32_t gateway_count = 86;
-  sync_relay relay{vm_name("core-2")};
+  sync_relay relay{vm_name("core-2"), [](std::uint64_t) { return 0U; }};
 
   relay_fixture() {
     Announce("i-1", 1);
