A gateway does not turn again to a coordinator that has just left its sync unanswered

Cause: followers name a leader that is gone until they elect another one, and a gateway went back to it each time, for 600 ms each. Change: a coordinator that left a sync unanswered is asked again after 1.5 s, unless there is no other; where only such a leader is named, the gateway asks again after 150 ms.

--- a/main/gateway_link.cc
+++ b/main/gateway_link.cc
@@ -16,6 +16,12 @@
 constexpr duration kUrgentSyncInterval = std::chrono::milliseconds(15);
 constexpr duration kSyncTimeout = std::chrono::milliseconds(600);
 constexpr duration kRetryDelay = std::chrono::milliseconds(50);
+// Followers name a leader that is gone until they elect another one. A gateway
+// turns to a coordinator that left its sync unanswered after this time at the
+// earliest, unless it knows no other one.
+constexpr duration kFailureMemory = std::chrono::milliseconds(1500);
+// Delay after an answer that names only such a leader.
+constexpr duration kNoLeaderDelay = std::chrono::milliseconds(150);
 constexpr duration kMaxConnectionIdle = std::chrono::seconds(5);
 
 }  // namespace
@@ -49,6 +55,9 @@
   auto local = std::vector<host_port>();
   auto all = std::vector<host_port>();
   for (const auto& row : answer.relays()) {
+    if (HasFailedLately(host_port(row.link()))) {
+      continue;
+    }
     all.emplace_back(row.link());
     if (row.data_centre() == settings_.data_centre.get()) {
       local.emplace_back(row.link());
@@ -59,6 +68,19 @@
                             : candidates[hooks_.random(candidates.size())];
 }
 
+auto gateway_link::HasFailedLately(const host_port& address) const -> bool {
+  const auto found = failed_at_.find(address);
+  return found != failed_at_.end() &&
+         loop_.get_now() - found->second < kFailureMemory;
+}
+
+auto gateway_link::ChooseCoordinator() const -> host_port {
+  const auto found = std::find_if(
+      coordinators_.begin(), coordinators_.end(),
+      [this](const host_port& address) { return !HasFailedLately(address); });
+  return found == coordinators_.end() ? coordinators_.front() : *found;
+}
+
 auto gateway_link::MoveToFront(const host_port& address) -> void {
   std::erase(coordinators_, address);
   coordinators_.insert(coordinators_.begin(), address);
@@ -93,7 +115,7 @@
     return;
   }
   sync_start_ = loop_.get_now();
-  const auto to = coordinators_.front();
+  const auto to = ChooseCoordinator();
   const auto body = std::make_shared<std::string>();
   is_connected_ = false;
   auto hooks = call_hooks();
@@ -127,6 +149,7 @@
     is_synced_ = false;
     log_.Write(event_category::state, "leader_lost", {{"link", to.get()}});
   }
+  failed_at_[to] = loop_.get_now();
   MoveToBack(to);
   ScheduleSync(kRetryDelay);
   hooks_.on_unanswered();
@@ -151,11 +174,16 @@
   if (!answer.is_leader() && !answer.is_relay()) {
     MoveToBack(from);
     const auto leader = host_port(answer.leader_link());
-    if (leader != host_port() && leader != from) {
+    const auto names_other = leader != host_port() && leader != from;
+    if (names_other) {
       hooks_.on_contact();
+    }
+    if (names_other && !HasFailedLately(leader)) {
       MoveToFront(leader);
+      ScheduleSync(kRetryDelay);
+    } else {
+      ScheduleSync(kNoLeaderDelay);
     }
-    ScheduleSync(kRetryDelay);
     hooks_.on_unanswered();
     return;
   }
@@ -171,6 +199,7 @@
   answered_at_ = now;
   metrics_.Observe("ebony_sync_silence_seconds",
                    std::chrono::duration<double>(silence_).count());
+  failed_at_.erase(from);
   hooks_.on_answer(answer);
   if (const auto relay = ChooseRelay(answer); relay != host_port()) {
     MoveToFront(relay);
--- a/main/gateway_link.h
+++ b/main/gateway_link.h
@@ -2,6 +2,7 @@
 #define EBONY_MAIN_GATEWAY_LINK_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -40,7 +41,10 @@
   event_log& log_;
   metrics& metrics_;
   hooks hooks_;
-  std::vector<host_port> coordinators_;  // the next sync goes to the first
+  // The next sync goes to the first that has not failed lately.
+  std::vector<host_port> coordinators_;
+  // When a sync with a coordinator was last left unanswered.
+  std::map<host_port, mono_time> failed_at_;
   std::unique_ptr<pooled_call> sync_call_;
   timer_id timeout_timer_;
   timer_id next_sync_timer_;
@@ -58,6 +62,10 @@
   // Returns a random relay of those listed in `answer`, from this gateway's
   // data centre if there is one there, or an empty address if none is listed.
   auto ChooseRelay(const schema::sync_answer& answer) const -> host_port;
+  auto HasFailedLately(const host_port& address) const -> bool;
+  // Returns the first coordinator that has not failed lately, or the first one
+  // if all have.
+  auto ChooseCoordinator() const -> host_port;
   auto MoveToFront(const host_port& address) -> void;
   auto MoveToBack(const host_port& address) -> void;
   auto ScheduleSync(duration delay) -> void;
