--- a/entry/server_selector.cc
+++ b/entry/server_selector.cc
@@ -232,15 +232,9 @@
   return best;
 }
 
-auto server_selector::Choose(const server_query& query, mono_time now)
-    -> server_choice {
-  auto candidates = std::vector<const backend_record*>();
-  auto suspected = std::vector<const backend_record*>();
-  auto has_server = false;
-  auto has_version = false;
-  auto has_unreachable = false;
-  auto has_unsettled = false;  // software where the request may begin soon
-  auto pause_left = std::optional<duration>();
+auto server_selector::Search(const server_query& query, mono_time now)
+    -> server_search {
+  auto found = server_search();
   const auto are_closed = are_paths_closed_ && !query.ignores_closed_paths;
   for (const auto& [id, record] : registry_.get_records()) {
     const auto& status = record.status;
@@ -253,13 +247,13 @@
         state.misdirected_start_time_ms == status.start_time_ms) {
       continue;
     }
-    has_server = true;
+    found.has_server = true;
     if (query.software != nullptr && status.software != *query.software) {
       continue;
     }
-    has_version = true;
+    found.has_version = true;
     if (query.may_begin_at && !query.may_begin_at(status.software)) {
-      has_unsettled = true;
+      found.has_unsettled = true;
       continue;
     }
     if (!HoldsModel(status, query) ||
@@ -267,36 +261,51 @@
       continue;
     }
     if (are_closed || IsUnreachable(status, now)) {
-      has_unreachable = has_unreachable || !record.is_suspected;
+      found.has_unreachable = found.has_unreachable || !record.is_suspected;
       continue;
     }
     const auto left = pauses_.GetTimeLeft(id, status.start_time_ms, now);
     if (left > duration(0)) {
-      pause_left = std::min(left, pause_left.value_or(left));
+      found.pause_left = std::min(left, found.pause_left.value_or(left));
       continue;
     }
-    (record.is_suspected ? suspected : candidates).push_back(&record);
+    (record.is_suspected ? found.suspected : found.candidates)
+        .push_back(&record);
   }
-  if (candidates.empty() && has_unreachable && !query.ignores_closed_paths) {
+  return found;
+}
+
+auto server_selector::GetAbsence(const server_search& found,
+                                 const server_query& query) -> server_choice {
+  if (found.has_unreachable && !query.ignores_closed_paths) {
     return {server_verdict::no_path};
   }
-  if (candidates.empty() && suspected.empty() && pause_left) {
+  if (found.pause_left) {
     auto choice = server_choice{server_verdict::paused};
-    choice.pause_left = *pause_left;
+    choice.pause_left = *found.pause_left;
     return choice;
   }
-  if (candidates.empty()) {
-    // Suspected servers are used only as a last resort.
-    candidates = std::move(suspected);
-  }
-  if (candidates.empty() && has_unsettled) {
+  if (found.has_unsettled) {
     return {server_verdict::busy};
   }
+  const auto verdict = found.has_version  ? server_verdict::no_replica
+                       : found.has_server ? server_verdict::no_version
+                                          : server_verdict::no_server;
+  return {verdict};
+}
+
+auto server_selector::Choose(const server_query& query, mono_time now)
+    -> server_choice {
+  auto found = Search(query, now);
+  auto& candidates = found.candidates;
+  const auto must_hand_over =
+      found.has_unreachable && !query.ignores_closed_paths;
+  if (candidates.empty() && (must_hand_over || found.suspected.empty())) {
+    return GetAbsence(found, query);
+  }
   if (candidates.empty()) {
-    const auto verdict = has_version  ? server_verdict::no_replica
-                         : has_server ? server_verdict::no_version
-                                      : server_verdict::no_server;
-    return {verdict};
+    // Suspected servers are used only as a last resort.
+    candidates = std::move(found.suspected);
   }
   RemoveEjected(candidates, now);
   std::erase_if(candidates, [&](const backend_record* record) {
--- a/entry/server_selector.h
+++ b/entry/server_selector.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <vector>
@@ -146,6 +147,22 @@
   std::size_t gateway_count_ = 1;
   bool are_paths_closed_ = false;
 
+  // What a look at all servers of a service has found.
+  struct server_search {
+    std::vector<const backend_record*> candidates;
+    std::vector<const backend_record*> suspected;
+    bool has_server = false;
+    bool has_version = false;      // runs the required software
+    bool has_unsettled = false;    // runs software where the request may begin
+                                   // soon
+    bool has_unreachable = false;  // could execute it
+    std::optional<duration> pause_left;  // the shortest of those that could
+  };
+
+  auto Search(const server_query& query, mono_time now) -> server_search;
+  // Returns why a search has found no candidate.
+  static auto GetAbsence(const server_search& found, const server_query& query)
+      -> server_choice;
   auto HoldsModel(const backend_status& status, const server_query& query) const
       -> bool;
   auto HasCapacity(const backend_status& status,
