--- a/drivers/stream_socket.cc
+++ b/drivers/stream_socket.cc
@@ -73,10 +73,7 @@
                              sizeof(target)) == 0 ||
                    errno == EINPROGRESS);
   if (!started) {
-    // Reported from the loop, because a hook must not run inside Connect.
-    loop_.AddTimerIn(duration(0), [self = shared_from_this()] {
-      self->CloseAndReport(socket_close_reason::not_connected);
-    });
+    CloseAndReportLater(socket_close_reason::not_connected);
     return;
   }
   SetTcpOptions(fd_);
@@ -103,7 +100,10 @@
     return;
   }
   if (ready.can_write) {
-    Flush();
+    if (const auto failure = Flush()) {
+      CloseAndReport(*failure);
+      return;
+    }
   }
   if (ready.can_read && fd_ >= 0) {
     ReadAvailable();
@@ -141,11 +141,10 @@
   }
 }
 
-auto stream_socket::Flush() -> void {
+auto stream_socket::Flush() -> std::optional<socket_close_reason> {
   while (fd_ >= 0 && !unsent_.empty()) {
     if (hooks_.may_send && !hooks_.may_send()) {
-      CloseAndReport(socket_close_reason::reset);
-      return;
+      return socket_close_reason::reset;
     }
     const auto count =
         ::send(fd_, unsent_.data(), unsent_.size(), MSG_NOSIGNAL);
@@ -153,10 +152,8 @@
       continue;
     }
     if (count < 0) {
-      if (errno != EAGAIN && errno != EWOULDBLOCK) {
-        CloseAndReport(socket_close_reason::reset);
-      }
-      return;
+      const auto is_full = errno == EAGAIN || errno == EWOULDBLOCK;
+      return is_full ? std::nullopt : std::optional(socket_close_reason::reset);
     }
     sent_bytes_ += static_cast<std::uint64_t>(count);
     unsent_.erase(0, static_cast<std::size_t>(count));
@@ -164,6 +161,7 @@
   if (is_closing_ && fd_ >= 0) {
     ShutDownWriting();
   }
+  return std::nullopt;
 }
 
 auto stream_socket::UpdateEvents() -> void {
@@ -179,8 +177,9 @@
   if (!is_connected_) {
     return;
   }
-  Flush();
-  if (fd_ >= 0) {
+  if (const auto failure = Flush()) {
+    CloseAndReportLater(*failure);
+  } else if (fd_ >= 0) {
     UpdateEvents();
   }
 }
@@ -195,7 +194,11 @@
 }
 
 auto stream_socket::CloseGracefully() -> void {
-  if (!is_open()) {
+  if (fd_ < 0) {
+    Close();  // a failure may still wait to be reported
+    return;
+  }
+  if (is_closing_) {
     return;
   }
   is_closing_ = true;
@@ -217,10 +220,23 @@
   }
 }
 
+auto stream_socket::CloseAndReportLater(socket_close_reason reason) -> void {
+  auto on_close = std::move(hooks_.on_close);
+  Close();
+  report_timer_ = loop_.AddTimerIn(
+      duration(0),
+      [self = shared_from_this(), reason, on_close = std::move(on_close)] {
+        if (on_close) {
+          on_close(reason);
+        }
+      });
+}
+
 auto stream_socket::Close() -> void {
   is_closed_ = true;
   hooks_ = {};
   loop_.CancelTimer(linger_timer_);
+  loop_.CancelTimer(report_timer_);
   if (fd_ < 0) {
     return;
   }
--- a/drivers/stream_socket.h
+++ b/drivers/stream_socket.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -19,14 +20,16 @@
 };
 
 // A non-blocking TCP connection on an event loop. The loop owns a reference
-// while the socket is open.
+// while the socket is open. Hooks run from the loop only, never inside a call
+// of this class: they may end the object that makes the call.
 class stream_socket : public std::enable_shared_from_this<stream_socket> {
  public:
   struct hooks {
     std::function<void(std::string_view)> on_bytes;
     std::function<void(socket_close_reason)> on_close;  // called at most once
-    // Called right before bytes are passed to the kernel; may be empty. If it
-    // returns false, nothing is sent and the connection is closed.
+    // Called right before bytes are passed to the kernel, also inside `Send`;
+    // may be empty. If it returns false, nothing is sent and the connection is
+    // closed.
     std::function<bool()> may_send;
   };
 
@@ -40,12 +43,17 @@
   std::string unsent_;
   hooks hooks_;
   timer_id linger_timer_;
+  timer_id report_timer_;  // set while a failure waits to be reported
 
   auto OnReady(io_readiness ready) -> void;
   auto FinishConnect() -> bool;
   auto ReadAvailable() -> void;
-  auto Flush() -> void;
+  // Passes buffered bytes to the kernel. Returns why the connection has to be
+  // closed, or std::nullopt.
+  auto Flush() -> std::optional<socket_close_reason>;
   auto CloseAndReport(socket_close_reason reason) -> void;
+  // Closes at once, and reports it from the loop.
+  auto CloseAndReportLater(socket_close_reason reason) -> void;
   auto UpdateEvents() -> void;
   auto ShutDownWriting() -> void;
 
@@ -63,7 +71,8 @@
   auto SetHooks(hooks new_hooks) -> void { hooks_ = std::move(new_hooks); }
 
   // Sends what the kernel accepts and buffers the rest. Bytes for a connection
-  // that is closing or closed are dropped.
+  // that is closing or closed are dropped. A failure closes the connection at
+  // once, and is reported after this call has returned.
   auto Send(std::string_view bytes) -> void;
   // Sends the buffered bytes and shuts down writing. The connection is closed
   // when the peer closes its side, or after 500 ms. No hook is called any more.
--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -219,7 +219,12 @@
          (!crashing_body_.empty() && request.body == crashing_body_);
 }
 
+auto scripted_server::SendMore(const std::string& bytes) -> void {
+  latest_->Send(bytes);
+}
+
 auto scripted_server::Answer(connection& item) -> void {
+  latest_ = item.socket;
   if (HoldsCrashingSegment(*item.request)) {
     item.socket->Send(ReplaceId(
         "HTTP/1.1 200 OK\r\nEbonythread-Request-Id: $ID\r\n"
@@ -612,6 +617,15 @@
   return response;
 }
 
+auto gateway_harness::Reset(const std::shared_ptr<caller_response>& response)
+    -> void {
+  for (const auto& item : callers_) {
+    if (item->response == response) {
+      item->socket->Reset();
+    }
+  }
+}
+
 auto gateway_harness::Disconnect(
     const std::shared_ptr<caller_response>& response) -> void {
   for (const auto& item : callers_) {
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -63,6 +63,7 @@
   std::deque<server_script> scripts_;
   std::optional<server_script> default_script_;
   std::vector<std::shared_ptr<connection>> server_connections_;
+  std::shared_ptr<stream_socket> latest_;  // socket of the latest request
 
   // A request with this prompt segment crashes the server; empty: none does.
   std::string crashing_segment_;
@@ -94,6 +95,8 @@
   // Adds a script for this server; it is used before the common ones.
   auto AddScript(server_script script) -> void;
   auto GetAddress() const -> host_port;
+  // Sends bytes on the connection of the latest request, besides its script.
+  auto SendMore(const std::string& bytes) -> void;
   // From now on, this script answers each request that has none of its own.
   auto AnswerAlways(server_script script) -> void {
     default_script_ = std::move(script);
@@ -203,6 +206,8 @@
   // Sends bytes on a new connection. The returned response is updated as data
   // arrives.
   auto Send(const std::string& bytes) -> std::shared_ptr<caller_response>;
+  // Resets a caller's connection.
+  auto Reset(const std::shared_ptr<caller_response>& response) -> void;
   // Closes a caller's connection.
   auto Disconnect(const std::shared_ptr<caller_response>& response) -> void;
   // Announces that a server is about to stop.
--- a/tests/http_pool_test.cc
+++ b/tests/http_pool_test.cc
@@ -12,6 +12,7 @@
   event_loop& loop;
   std::size_t received = 0;
   std::string answer = {};  // sent before it closes; empty: it does neither
+  bool keeps_open = false;  // after an answer
   std::vector<std::shared_ptr<stream_socket>> sockets;
   stream_acceptor acceptor;
 
@@ -29,7 +30,7 @@
       received += bytes.size();
       if (!answer.empty()) {
         socket->Send(answer);
-        socket->CloseGracefully();
+        keeps_open ? void() : socket->CloseGracefully();
       }
     };
     socket->Adopt(fd, std::move(hooks));
@@ -91,6 +92,39 @@
   }
 }
 
+// Guards against attempts that end before their handle is known, which were
+// counted as running at their server for good.
+BOOST_AUTO_TEST_CASE(a_call_on_a_broken_connection_fails_after_its_start) {
+  auto loop = event_loop();
+  auto pool = http_pool(loop);
+  auto peer = byte_counter(loop);
+  peer.answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  peer.keeps_open = true;
+  const auto request = RenderPost("/", peer.GetAddress(), "{}");
+  auto is_complete = false;
+  auto first = call_hooks();
+  first.on_complete = [&is_complete] { is_complete = true; };
+  static_cast<void>(pool.Start(peer.GetAddress(), request, false,
+                               call_options(), std::move(first)));
+  loop.Run([&is_complete] { return is_complete; });
+  peer.sockets.back()->Reset();
+  auto is_started = false;
+  auto failure = std::optional<call_failure>();
+  auto has_failed_inside = false;
+  auto second = call_hooks();
+  second.on_failed = [&](call_failure reason) {
+    failure = reason;
+    has_failed_inside = !is_started;
+  };
+  const auto call = pool.Start(peer.GetAddress(), request, false,
+                               call_options(), std::move(second));
+  is_started = true;
+  loop.Run([&failure] { return failure.has_value(); });
+  BOOST_TEST(!has_failed_inside);
+  BOOST_TEST((failure == call_failure::not_sent));
+  BOOST_TEST(pool.get_opened_connections() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
