The pool looks its idle connections up again after it has closed one

Cause: http_pool::TakeIdle closed the last idle connection of an address, which removes the list that it was walking, and went on with the removed list. Seen by the review with the address sanitizer, in gateways and coordinators within seconds; without it the freed memory read as empty.

Change: the list is looked up in each round. The test drives that path; it passes on the former code without a sanitizer, and fails under the address sanitizer only.

--- a/drivers/http_pool.cc
+++ b/drivers/http_pool.cc
@@ -314,18 +314,19 @@
 
 auto http_pool::TakeIdle(const host_port& address, duration max_idle_time)
     -> std::shared_ptr<pooled_connection> {
-  const auto found = idle_.find(address);
-  while (found != idle_.end() && !found->second.empty()) {
+  // Looked up again each time: closing the last idle connection removes the
+  // list.
+  for (auto found = idle_.find(address); found != idle_.end();
+       found = idle_.find(address)) {
     const auto connection = found->second.back();
     if (connection->IsReusable(loop_.get_now(), max_idle_time)) {
-      found->second.pop_back();
+      RemoveIdle(connection);
       return connection;
     }
-    if (!connection->IsReusable(loop_.get_now(), duration::max())) {
-      connection->Close();
-      continue;
+    if (connection->IsReusable(loop_.get_now(), duration::max())) {
+      return nullptr;  // the others have been idle even longer
     }
-    return nullptr;  // the others have been idle even longer
+    connection->Close();
   }
   return nullptr;
 }
--- a/tests/http_pool_test.cc
+++ b/tests/http_pool_test.cc
@@ -125,6 +125,32 @@
   BOOST_TEST(pool.get_opened_connections() == 1U);
 }
 
+// Guards against a look at the list of idle connections after its removal, which
+// the address sanitizer reports.
+BOOST_AUTO_TEST_CASE(a_connection_that_was_idle_for_too_long_is_replaced) {
+  auto loop = event_loop();
+  auto pool = http_pool(loop);
+  auto peer = byte_counter(loop);
+  peer.answer =
+      "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\n"
+      "Content-Length: 0\r\n\r\n";
+  peer.keeps_open = true;
+  for (auto i = 0U; i < 3; ++i) {
+    auto is_complete = false;
+    auto hooks = call_hooks();
+    hooks.on_complete = [&is_complete] { is_complete = true; };
+    static_cast<void>(
+        pool.Start(peer.GetAddress(), RenderPost("/", peer.GetAddress(), "{}"),
+                   false, call_options(), std::move(hooks)));
+    loop.Run([&is_complete] { return is_complete; });
+    auto is_later = false;
+    loop.AddTimerIn(std::chrono::milliseconds(5),
+                    [&is_later] { is_later = true; });
+    loop.Run([&is_later] { return is_later; });
+    BOOST_TEST(pool.get_opened_connections() == i + 1);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
