--- a/entry/attempt_policy.cc
+++ b/entry/attempt_policy.cc
@@ -81,7 +81,8 @@
 }
 
 auto DecideAction(const attempt_summary& summary) -> attempt_action {
-  const auto has_attempts_left = summary.attempts < summary.max_attempts;
+  const auto has_attempts_left =
+      summary.attempts < summary.max_attempts && summary.can_go_on;
   const auto was_not_run = summary.outcome == attempt_outcome::not_sent ||
                            summary.outcome == attempt_outcome::not_run;
   if (was_not_run) {
--- a/entry/attempt_policy.h
+++ b/entry/attempt_policy.h
@@ -34,6 +34,8 @@
   bool may_have_run = false;  // an earlier attempt may have been executed
   // Part of a stream was delivered to the caller.
   bool has_delivered_events = false;
+  // Another attempt can follow what was delivered, if anything.
+  bool can_go_on = true;
 };
 
 // Action to take when an attempt has ended.
@@ -49,7 +51,8 @@
 auto GetAttemptActionText(attempt_action action) -> std::string_view;
 
 // Returns what to do after an attempt has ended. A request with the rule
-// `at_most_once` is retried only when it cannot have been executed.
+// `at_most_once` is retried only when it cannot have been executed, and none is
+// retried after bytes that another attempt cannot follow.
 auto DecideAction(const attempt_summary& summary) -> attempt_action;
 
 // Returns the action that replaces `retry` when no retry is possible.
--- a/entry/sse_reader.cc
+++ b/entry/sse_reader.cc
@@ -11,14 +11,35 @@
 
 constexpr std::string_view kEndOfStreamData = "[DONE]";
 
-// Returns the text after `field:` with one leading space removed.
-auto GetFieldValue(std::string_view line, std::string_view field)
-    -> std::string_view {
-  line.remove_prefix(field.size());
-  if (!line.empty() && line.front() == ' ') {
-    line.remove_prefix(1);
+// A line `name: value` of an event; a comment has an empty name.
+struct sse_field {
+  std::string_view name;
+  std::string_view value;
+};
+
+auto ParseField(std::string_view line) -> sse_field {
+  const auto colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    return {line, {}};
+  }
+  auto value = line.substr(colon + 1);
+  if (value.starts_with(' ')) {
+    value.remove_prefix(1);
   }
-  return line;
+  return {line.substr(0, colon), value};
+}
+
+// Returns std::nullopt for a text that is not a decimal number as a whole.
+auto ParseId(std::string_view text) -> std::optional<std::uint64_t> {
+  auto id = std::uint64_t{0};
+  const auto* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, id);
+  return error == std::errc() && stop == end ? std::optional(id) : std::nullopt;
+}
+
+auto IsKnownField(std::string_view name) -> bool {
+  return name.empty() || name == "data" || name == "id" || name == "event" ||
+         name == "retry";
 }
 
 auto ParseEvent(std::string_view block) -> sse_event {
@@ -32,13 +53,17 @@
     if (!line.empty() && line.back() == '\r') {
       line.remove_suffix(1);
     }
-    if (line.starts_with("data:")) {
+    if (line.empty()) {
+      continue;
+    }
+    const auto field = ParseField(line);
+    event.is_event = event.is_event || IsKnownField(field.name);
+    if (field.name == "data") {
       event.data += is_first_data_line ? "" : "\n";
-      event.data += GetFieldValue(line, "data:");
+      event.data += field.value;
       is_first_data_line = false;
-    } else if (line.starts_with("id:")) {
-      const auto value = GetFieldValue(line, "id:");
-      std::from_chars(value.data(), value.data() + value.size(), event.id);
+    } else if (field.name == "id") {
+      event.id = ParseId(field.value);
     }
   }
   return event;
@@ -78,7 +103,8 @@
   if (is_done_ || has_replay_mismatch_) {
     return false;
   }
-  const auto hash = HashBytes(event.data);
+  // What has no data is compared as a whole.
+  const auto hash = HashBytes(event.data.empty() ? event.raw : event.data);
   const auto position = next_++;
   if (position <= delivered_.size()) {
     has_replay_mismatch_ = delivered_[position - 1] != hash;
--- a/entry/sse_reader.h
+++ b/entry/sse_reader.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,9 +14,12 @@
 
 // One server-sent event as it was received.
 struct sse_event {
-  std::uint64_t id = 0;  // 0: the event has no numeric id
+  std::optional<std::uint64_t> id;  // std::nullopt: it has no numeric id
   std::string data;
   std::string raw;  // including the blank line that ends it
+  // False for a block without a comment and a field that the source defines:
+  // bytes that only look like an event.
+  bool is_event = false;
 };
 
 // Splits a byte stream into complete events. The bytes of an incomplete event
--- a/entry/stream_assembler.h
+++ b/entry/stream_assembler.h
@@ -2,6 +2,7 @@
 #define EBONY_ENTRY_STREAM_ASSEMBLER_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -17,9 +18,14 @@
   event_boundary position_;  // in the latest run
   sse_reader reader_;        // of a resumable stream
   std::string events_;       // returned by the latest `Feed`
-  // Id of the last event returned by `Feed`; 0 before the first.
-  std::uint64_t last_event_id_ = 0;
-  bool repeats_events_ = false;  // the latest run sent an earlier event again
+  // Of the last event with an id that `Feed` has returned.
+  std::optional<std::uint64_t> last_event_id_;
+  // `Feed` has returned bytes since that no id stands for.
+  bool has_unnumbered_end_ = false;
+  // The latest run sent an earlier event again, or bytes that are no event.
+  bool is_spoiled_ = false;
+
+  auto Accept(const sse_event& event) -> void;
 
  public:
   explicit stream_assembler(bool is_resumable);
@@ -36,14 +42,21 @@
     return reader_.get_remainder();
   }
   // Returns true once the latest run can't be continued: an event exceeds the
-  // size limit, or repeats an earlier one.
+  // size limit or repeats an earlier one, or what came is no event.
   auto IsUnusable() const -> bool;
+  // Returns true if another run can follow what `Feed` has returned: nothing
+  // has been returned, or the run can go on after the last event's id.
+  auto CanGoOn() const -> bool { return !has_unnumbered_end_; }
   // Returns whether the stream is whole when the response of the latest run has
   // ended in an orderly way. The end of the framing does not prove it: a server
   // that breaks off may end it, or close a response without a framing.
   auto IsWhole(bool has_framing) const -> bool;
 
-  auto get_last_event_id() const -> std::uint64_t { return last_event_id_; }
+  // Returns the id after which another run has to go on; std::nullopt if it has
+  // to begin anew. Meaningful only if `CanGoOn` returns true.
+  auto get_last_event_id() const -> std::optional<std::uint64_t> {
+    return last_event_id_;
+  }
   // Number of complete events of the latest run.
   auto get_events() const -> std::uint64_t { return position_.get_events(); }
   // Number of bytes of the event of the latest run that has not ended.
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -202,9 +202,7 @@
   if (IsEngine()) {
     forward.priority = std::clamp(rule_.priority, 0, 9);
   }
-  if (const auto last = stream_.get_last_event_id(); last > 0) {
-    forward.resume_after = std::to_string(last);
-  }
+  forward.resume_after = GetResumePoint();
   context_.log.Write(
       event_category::request, "sent",
       {{"request", metadata_.id.get()},
@@ -215,7 +213,7 @@
        {"backend", server_.get()},
        {"software", server.software.get()},
        {"resumes", metadata_.resumes.value_or(caller_request_id()).get()},
-       {"after", static_cast<std::int64_t>(stream_.get_last_event_id())},
+       {"after", forward.resume_after.value_or("")},
        {"attempt", static_cast<std::int64_t>(attempts_)},
        {"trial", evidence_.on_trial.empty() ? "no" : "yes"},
        {"load", static_cast<std::int64_t>(
@@ -227,6 +225,11 @@
                                                            call_.body.size()));
 }
 
+auto proxy_session::GetResumePoint() const -> std::optional<std::string> {
+  const auto last = stream_.get_last_event_id();
+  return last ? std::optional(std::to_string(*last)) : std::nullopt;
+}
+
 auto proxy_session::StartAttempt(const host_port& address,
                                  const http_head& head) -> void {
   sent_at_ = context_.loop.get_now();
@@ -418,6 +421,7 @@
   summary.max_attempts = GetMaxAttempts();
   summary.may_have_run = may_have_run_;
   summary.has_delivered_events = answer_->has_begun();
+  summary.can_go_on = stream_.CanGoOn();
   const auto is_misdirected = outcome == attempt_outcome::not_run &&
                               server_answer_.backend != backend_name() &&
                               server_answer_.backend != server_;
@@ -577,7 +581,7 @@
   if (IsDirect()) {
     context_.paths.OnServerFailed(server_);
   }
-  if (!HasAlternativeServer()) {
+  if (!stream_.CanGoOn() || !HasAlternativeServer()) {
     ArmStallTimer();
     return;
   }
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -196,6 +196,8 @@
   auto AddResult(http_head head, const handover_result& result) const
       -> http_head;
   auto GetServerResult() const -> handover_result;
+  // Returns `Last-Event-Id` of the next attempt; std::nullopt: it begins anew.
+  auto GetResumePoint() const -> std::optional<std::string>;
   auto StartAttempt(const host_port& address, const http_head& head) -> void;
   // Queues the request, or rejects it if waiting cannot help.
   auto Enqueue(server_verdict reason) -> void;
--- a/main/proxy_session_handover.cc
+++ b/main/proxy_session_handover.cc
@@ -61,23 +61,20 @@
   terms.tried = {tried_servers_.begin(), tried_servers_.end()};
   auto forward = platform::forward_options();
   forward.time_left = GetTimeLeft();
-  if (const auto last = stream_.get_last_event_id(); last > 0) {
-    forward.resume_after = std::to_string(last);
-  }
+  forward.resume_after = GetResumePoint();
   auto head =
       platform::MakeForwardedHead(call_.head, forward, call_.body.size());
   head.fields.push_back({kHandoverField, EncodeTerms(terms)});
   context_.counters.Count("ebony_handovers_total");
-  context_.log.Write(
-      event_category::request, "handed_over",
-      {{"request", metadata_.id.get()},
-       {"route", rule_.name.get()},
-       {"model", metadata_.model.get()},
-       {"peer", peer_.get()},
-       {"after", static_cast<std::int64_t>(stream_.get_last_event_id())},
-       {"attempt", static_cast<std::int64_t>(attempts_)},
-       {"paths", context_.paths.is_closed() ? "closed" : "open"},
-       {"left_ms", forward.time_left}});
+  context_.log.Write(event_category::request, "handed_over",
+                     {{"request", metadata_.id.get()},
+                      {"route", rule_.name.get()},
+                      {"model", metadata_.model.get()},
+                      {"peer", peer_.get()},
+                      {"after", forward.resume_after.value_or("")},
+                      {"attempt", static_cast<std::int64_t>(attempts_)},
+                      {"paths", context_.paths.is_closed() ? "closed" : "open"},
+                      {"left_ms", forward.time_left}});
   StartAttempt(peer->address, head);
 }
 
--- a/tests/gateway_rules_test.cc
+++ b/tests/gateway_rules_test.cc
@@ -33,7 +33,7 @@
   for (const auto outcome : kOutcomes) {
     for (const auto rule : kRules) {
       for (const auto status : {200, 404, 408, 421, 429, 500, 502, 503}) {
-        for (auto bits = 0; bits < 16; ++bits) {
+        for (auto bits = 0; bits < 32; ++bits) {
           auto summary = attempt_summary();
           summary.outcome = outcome;
           summary.retry_rule = rule;
@@ -42,6 +42,7 @@
           summary.has_delivered_events = (bits & 2) != 0;
           summary.attempts = (bits & 4) != 0 ? 2 : 1;
           summary.max_attempts = (bits & 8) != 0 ? 2 : 1;
+          summary.can_go_on = (bits & 16) == 0;
           check(summary);
         }
       }
@@ -137,6 +138,14 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(nothing_is_retried_that_another_attempt_cannot_follow) {
+  ForEachCase([](const attempt_summary& summary) {
+    if (!summary.can_go_on) {
+      BOOST_TEST_REQUIRE((DecideAction(summary) != attempt_action::retry));
+    }
+  });
+}
+
 BOOST_AUTO_TEST_CASE(retry_delays_are_bounded_and_spread) {
   auto delays = std::set<duration>();
   for (auto draw = 0; draw < 10; ++draw) {
--- a/tests/tools_test.cc
+++ b/tests/tools_test.cc
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <random>
 
 #include "drivers/disk_store.h"
@@ -218,7 +219,7 @@
     reader.Feed(text.substr(0, cut), append_event);
     reader.Feed(text.substr(cut), append_event);
     BOOST_REQUIRE_EQUAL(events.size(), 4U);
-    BOOST_REQUIRE_EQUAL(events[0].id, 1U);
+    BOOST_REQUIRE((events[0].id == 1U));
     BOOST_REQUIRE_EQUAL(events[1].data, "two\nmore");
     BOOST_REQUIRE_EQUAL(events[3].data, "[DONE]");
   }
@@ -241,6 +242,54 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(only_a_whole_number_is_an_id) {
+  const auto get_id = [](const std::string& line) {
+    auto id = std::optional<std::uint64_t>();
+    sse_reader().Feed(line + "\ndata: x\n\n",
+                      [&id](const sse_event& event) { id = event.id; });
+    return id;
+  };
+  BOOST_TEST((get_id("id: 0") == 0U));
+  BOOST_TEST((get_id("id:7") == 7U));
+  for (const auto* line : {"id", "id:", "id: x", "id: 7x", "id: -1", "idx: 7",
+                           "id: 99999999999999999999"}) {
+    BOOST_TEST(!get_id(line).has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(text_between_blank_lines_is_no_event) {
+  const auto is_event = [](const std::string& block) {
+    auto result = false;
+    sse_reader().Feed(block + "\n\n", [&result](const sse_event& event) {
+      result = event.is_event;
+    });
+    return result;
+  };
+  for (const auto* block :
+       {"data: x", "data", "id: 1", ": comment", "event: e\r", "retry: 5",
+        "ebonythread-weight-versions: 3\ndata: x"}) {
+    BOOST_TEST(is_event(block), block);
+  }
+  for (const auto* block : {"<p>Error</p>", "dat: x", "Data: x", " data: x"}) {
+    BOOST_TEST(!is_event(block), block);
+  }
+}
+
+// Guards against text of a faulty engine that stands for an event without data.
+BOOST_AUTO_TEST_CASE(events_without_data_are_replayed_exactly) {
+  const auto make = [](const std::string& raw) {
+    auto event = sse_event();
+    event.raw = raw;
+    return event;
+  };
+  auto deduplicator = stream_deduplicator();
+  deduplicator.StartAttempt(0);
+  BOOST_TEST(deduplicator.Accept(make("<p>Error</p>\n\n")));
+  deduplicator.StartAttempt(0);
+  BOOST_TEST(!deduplicator.Accept(make(": comment\n\n")));
+  BOOST_TEST(deduplicator.has_replay_mismatch());
+}
+
 BOOST_AUTO_TEST_CASE(a_replay_delivers_each_event_once) {
   auto deduplicator = stream_deduplicator();
   deduplicator.StartAttempt(0);
