--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -125,6 +125,11 @@
   auto OnResolve(const platform::resolve_call& call,
                  const response_pointer& answer) -> void;
   // Responds to an announcement or departure once the leader has it.
+  // Parses a message of another daemon, and logs what could not be read of it.
+  // Returns false if that is all.
+  template <typename Message>
+  auto ReadRows(const char* path, const std::string& body, Message& message)
+      -> bool;
   auto ForwardToLeader(const schema::backend_status_row& row,
                        const response_pointer& answer) -> void;
   auto RedirectToLeader(const std::string& target,
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "codec/handover_codec.h"
+#include "codec/message_reader.h"
 #include "codec/site_codec.h"
 #include "main/coordinator_daemon.h"
 #include "main/site_paths.h"
@@ -26,11 +27,29 @@
 constexpr duration kLinkIdleTimeout = std::chrono::seconds(5);
 
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
 }  // namespace
 
+template <typename Message>
+auto coordinator_daemon::ReadRows(const char* path,
+                                  const std::string& body,
+                                  Message& message) -> bool {
+  const auto unreadable_rows = ReadMessage(body, message);
+  if (unreadable_rows == 0U) {
+    return true;
+  }
+  metrics_.Count("ebony_unreadable_rows_total", unreadable_rows.value_or(0));
+  log_.Write(event_category::state, "message_unreadable",
+             {{"path", path},
+              {"bytes", static_cast<std::int64_t>(body.size())},
+              {"rows", static_cast<std::int64_t>(unreadable_rows.value_or(0))},
+              {"used", unreadable_rows ? "yes" : "no"}});
+  return unreadable_rows.has_value();
+}
+
 // The backend server's call is acknowledged only after the leader has accepted
 // it.
 auto coordinator_daemon::ForwardToLeader(const schema::backend_status_row& row,
@@ -77,10 +96,14 @@
                                          const response_pointer& answer)
     -> void {
   auto batch = schema::announce_batch();
-  if (!raft_.is_leader() || !batch.ParseFromString(body)) {
+  if (!raft_.is_leader()) {
     Respond(answer, kUnavailable, {});
     return;
   }
+  if (!ReadRows(kAnnouncePath, body, batch) || batch.backends().empty()) {
+    Respond(answer, kBadRequest, {});
+    return;
+  }
   const auto remaining = std::make_shared<int>(batch.backends_size());
   const auto is_all_propagated = std::make_shared<bool>(true);
   for (const auto& row : batch.backends()) {
@@ -443,8 +466,8 @@
 auto coordinator_daemon::OnSync(const std::string& body,
                                 const response_pointer& answer) -> void {
   auto request = schema::sync_request();
-  if (!request.ParseFromString(body)) {
-    Respond(answer, kUnavailable, {});
+  if (!ReadRows(kSyncPath, body, request)) {
+    Respond(answer, kBadRequest, {});
     return;
   }
   const auto is_leader = raft_.is_leader();
@@ -538,7 +561,7 @@
 
 auto coordinator_daemon::OnLeaderSyncAnswer(const std::string& body) -> void {
   auto reply = schema::sync_answer();
-  if (!reply.ParseFromString(body) || !reply.is_leader()) {
+  if (!ReadRows(kSyncPath, body, reply) || !reply.is_leader()) {
     return;
   }
   const auto now = loop_.get_now();
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -7,6 +7,7 @@
 #include "codec/handover_codec.h"
 #include "codec/site_codec.h"
 #include "core/error_kind.h"
+#include "core/text.h"
 #include "drivers/compression.h"
 #include "platform/config_codec.h"
 #include "platform/control_codec.h"
@@ -39,6 +40,7 @@
 // Interval in which a relay gets the loads of the other gateways.
 constexpr duration kRelayDelay = std::chrono::milliseconds(100);
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr duration kNoConfigRetryAfter = std::chrono::milliseconds(500);
@@ -526,6 +528,11 @@
                                 std::optional<stream_origin> origin,
                                 std::optional<handover_terms> terms,
                                 const response_pointer& answer) -> void {
+  // No configuration names such a model, and no message could.
+  if (!IsUtf8(metadata.model.get()) || !IsUtf8(metadata.adapter.get())) {
+    RejectCall(metadata, error_kind::invalid_request, kBadRequest, answer);
+    return;
+  }
   const auto session = std::make_shared<proxy_session>(
       context_, route_table_, rule, service, std::move(call),
       std::move(metadata), std::move(origin), std::move(terms), answer);
--- a/main/gateway_link.cc
+++ b/main/gateway_link.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "codec/message_reader.h"
 #include "main/site_paths.h"
 
 namespace ebony {
@@ -160,10 +161,15 @@
   loop_.CancelTimer(timeout_timer_);
   sync_call_ = nullptr;
   auto answer = schema::sync_answer();
-  if (!answer.ParseFromString(body)) {
+  const auto unreadable_rows = ReadMessage(body, answer);
+  if (!unreadable_rows) {
+    log_.Write(event_category::state, "sync_unreadable",
+               {{"link", from.get()},
+                {"bytes", static_cast<std::int64_t>(body.size())}});
     OnFailure(from);
     return;
   }
+  metrics_.Count("ebony_unreadable_rows_total", *unreadable_rows);
   for (const auto& link : answer.coordinator_links()) {
     const auto address = host_port(link);
     if (std::find(coordinators_.begin(), coordinators_.end(), address) ==
--- a/tests/coordinator_harness.cc
+++ b/tests/coordinator_harness.cc
@@ -179,6 +179,22 @@
                   std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
+auto coordinator_harness::Announce(const std::vector<std::string>& ids) -> int {
+  auto batch = schema::announce_batch();
+  for (const auto& id : ids) {
+    auto* row = batch.add_backends();
+    row->set_id(id);
+    row->set_service("s");
+    row->set_address("10.0.0.9:8080");
+    row->set_sequence(1);
+    row->set_born_ms(1);
+  }
+  const auto response = Call(GetLink(1), RenderPost(kAnnouncePath, GetLink(1),
+                                                    batch.SerializeAsString()));
+  RunUntil([&] { return response->is_complete; });
+  return response->status;
+}
+
 auto coordinator_harness::Sync(const schema::sync_request& request)
     -> schema::sync_answer {
   const auto response =
--- a/tests/coordinator_harness.h
+++ b/tests/coordinator_harness.h
@@ -58,6 +58,9 @@
   auto SetAccepting(bool is_accepting) -> void { is_accepting_ = is_accepting; }
   // The operator sends a configuration with one route, `/r<number>/`.
   auto PutConfig(std::uint64_t number) -> std::shared_ptr<coordinator_response>;
+  // Another coordinator passes on announcements of servers with these ids.
+  // Returns the status of the answer.
+  auto Announce(const std::vector<std::string>& ids) -> int;
   // Another daemon syncs with the coordinator.
   auto Sync(const schema::sync_request& request) -> schema::sync_answer;
   // A voter that now leads in the next term overwrites the entries after the
