One peer that sends without end no longer keeps all others waiting

Cause: stream_socket read a connection until nothing was left.

Change: at most 16 reads of 16 KiB of one connection in a round of the loop; the loop comes back to it, since epoll reports by level.

stream_socket_rules/a_round_of_the_loop_reads_a_part_of_what_has_come: fails without the bound (the mutation reads_without_end).

--- a/drivers/stream_socket.cc
+++ b/drivers/stream_socket.cc
@@ -18,6 +18,9 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 16 * 1024;
+// Reads of one connection in a round of the event loop. A peer that sends
+// faster than its bytes are handled would otherwise keep all others waiting.
+constexpr int kMaxReadsPerRound = 16;
 // The kernel ends a connection when sent data stays unacknowledged for this
 // long.
 constexpr int kUserTimeoutMs = 2500;
@@ -115,7 +118,7 @@
 
 auto stream_socket::ReadAvailable() -> void {
   auto buffer = std::array<char, kReadBytes>();
-  while (fd_ >= 0) {
+  for (auto reads = 0; fd_ >= 0 && reads < kMaxReadsPerRound; ++reads) {
     const auto count = ::recv(fd_, buffer.data(), buffer.size(), 0);
     if (count < 0 && errno == EINTR) {
       continue;
--- a/tests/stream_socket_test.cc
+++ b/tests/stream_socket_test.cc
@@ -1,9 +1,11 @@
 #include "drivers/stream_socket.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace ebony::testing {
 
@@ -97,6 +99,27 @@
   }
 }
 
+// Guards against one peer that sends without end and keeps all others waiting.
+BOOST_AUTO_TEST_CASE(a_round_of_the_loop_reads_a_part_of_what_has_come) {
+  constexpr auto kMaxBytes = std::size_t{512} * 1024;
+  auto pair = socket_pair();
+  auto received = std::size_t{0};
+  auto most = std::size_t{0};
+  auto hooks = stream_socket::hooks();
+  hooks.on_bytes = [&received](std::string_view bytes) {
+    received += bytes.size();
+  };
+  pair.near_end->SetHooks(std::move(hooks));
+  const auto sent = std::string(std::size_t{2} * 1024 * 1024, 'x');
+  pair.far_end->Send(sent);
+  auto before = std::size_t{0};
+  pair.loop.Run([&] {
+    most = std::max(most, received - std::exchange(before, received));
+    return received >= sent.size();
+  });
+  BOOST_TEST(most <= kMaxBytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
