--- a/drivers/http_pool.cc
+++ b/drivers/http_pool.cc
@@ -65,6 +65,7 @@
   std::string unparsed_;  // bytes that the parser needs again with later ones
   std::uint64_t sent_bytes_before_call_ = 0;
   std::size_t unused_bytes_ = 0;  // since the last byte of the call's body
+  std::uint64_t max_body_bytes_ = 0;
   bool is_busy_ = false;
   bool is_head_request_ = false;
   bool is_skipping_ = false;  // the current response is not for this call
@@ -91,8 +92,10 @@
         hooks_.on_body(bytes);
       }
     };
-    reader_ = std::make_unique<http_reader>(
-        http_message_type::response, std::move(hooks), http_reader::limits());
+    auto limits = http_reader::limits();
+    limits.body_bytes = max_body_bytes_;
+    reader_ = std::make_unique<http_reader>(http_message_type::response,
+                                            std::move(hooks), limits);
   }
 
   auto OnHead(const http_head& head) -> void {
@@ -256,10 +259,11 @@
 
   auto Send(const std::string& bytes,
             bool is_head_request,
-            std::function<bool()> may_send,
+            const call_options& options,
             call_hooks hooks) -> void {
     is_busy_ = true;
-    may_send_ = std::move(may_send);
+    may_send_ = options.may_send;
+    max_body_bytes_ = options.max_body_bytes;
     is_head_request_ = is_head_request;
     is_bodyless_ = false;
     hooks_ = std::move(hooks);
@@ -366,7 +370,7 @@
     connection = std::make_shared<pooled_connection>(*this, address);
     connection->Open(options.connect_timeout);
   }
-  connection->Send(bytes, is_head_request, options.may_send, std::move(hooks));
+  connection->Send(bytes, is_head_request, options, std::move(hooks));
   return std::make_unique<pooled_call>(connection);
 }
 
--- a/drivers/http_pool.h
+++ b/drivers/http_pool.h
@@ -41,11 +41,14 @@
 
 struct call_options {
   duration connect_timeout = std::chrono::milliseconds(500);
-  // A pooled connection that has been idle for longer is not used for this
-  // call.
   // The call gets a connection of its own, not one that was used before.
   bool needs_new_connection = false;
+  // A pooled connection that has been idle for longer is not used for this
+  // call.
   duration max_idle_time = std::chrono::seconds(1);
+  // The call fails with `malformed_response` if the body of its response is
+  // longer, in bytes.
+  std::uint64_t max_body_bytes = std::uint64_t{64} * 1024;
   // Asked right before bytes of the call are sent; may be empty. The call fails
   // if it returns false: with `not_sent` if no byte was sent before.
   std::function<bool()> may_send;
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -554,6 +554,7 @@
   hooks.on_failed = [this](call_failure) { leader_sync_call_ = nullptr; };
   auto options = call_options();
   options.max_idle_time = kLinkIdleTimeout;
+  options.max_body_bytes = kMaxLinkBodyBytes;
   leader_sync_call_ = pool_.Start(
       leader, RenderPost(kSyncPath, leader, request.SerializeAsString()), false,
       options, std::move(hooks));
--- a/main/gateway_link.cc
+++ b/main/gateway_link.cc
@@ -128,6 +128,7 @@
   auto options = call_options();
   options.connect_timeout = kSyncTimeout;
   options.max_idle_time = kMaxConnectionIdle;
+  options.max_body_bytes = kMaxLinkBodyBytes;
   sync_call_ = pool_.Start(
       to, RenderPost(kSyncPath, to, hooks_.make_request().SerializeAsString()),
       false, options, std::move(hooks));
--- a/main/order_executor.cc
+++ b/main/order_executor.cc
@@ -24,6 +24,8 @@
 // Time from the answer to an adapter's load order until the adapter can be
 // used.
 constexpr duration kAdapterLoadDelay = std::chrono::milliseconds(15);
+// Of a report. A sound one lists the names of what a server holds.
+constexpr std::uint64_t kMaxReportBytes = std::uint64_t{128} * 1024;
 constexpr int kAccepted = 202;
 constexpr int kAlreadyApplied = 200;
 
@@ -154,13 +156,20 @@
          {"models", static_cast<std::int64_t>(known.held.size())},
          {"adapters", static_cast<std::int64_t>(CountAdapters(known.held))}});
   };
-  hooks.on_failed = [this, id](call_failure) {
+  hooks.on_failed = [this, id](call_failure failure) {
     EndCall(id);
     InvalidateReport(id, kRejectedBackoff);
+    if (failure == call_failure::malformed_response) {
+      metrics_.Count("ebony_unreadable_reports_total");
+      log_.Write(event_category::state, "report_unreadable",
+                 {{"backend", id.get()}});
+    }
   };
+  auto options = call_options();
+  options.max_body_bytes = kMaxReportBytes;
   metrics_.Count("ebony_report_calls_total");
   state.call = pool_.Start(status.address, platform::RenderReportCall(status),
-                           false, call_options(), std::move(hooks));
+                           false, options, std::move(hooks));
   state.timeout = loop_.AddTimerIn(kReportTimeout, [this, id] {
     if (server_states_[id].call != nullptr) {
       server_states_[id].call->Cancel();
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -16,6 +16,8 @@
 constexpr duration kMaxIdleRunOnce = std::chrono::milliseconds(300);
 constexpr duration kMaxIdleIdempotent = std::chrono::seconds(4);
 constexpr duration kConnectTimeout = std::chrono::milliseconds(400);
+// Of a server's answer, of which only a part is kept at a time.
+constexpr std::uint64_t kMaxAnswerBytes = std::uint64_t{64} * 1024 * 1024;
 // Stall timeout of an idempotent request, in objectives of its route.
 constexpr int kStallObjectives = 3;
 constexpr duration kMinStallTimeout = std::chrono::milliseconds(250);
@@ -244,6 +246,7 @@
   stream_.StartRun();
   auto options = call_options();
   options.connect_timeout = kConnectTimeout;
+  options.max_body_bytes = kMaxAnswerBytes;
   // The refusal may come once more on the connection that it came on.
   options.needs_new_connection = IsDirect() && refused_by_.contains(server_);
   options.max_idle_time = rule_.retry == retry_policy::idempotent
--- a/main/raft_node.cc
+++ b/main/raft_node.cc
@@ -256,6 +256,7 @@
   auto options = call_options();
   options.connect_timeout = kPeerTimeout;
   options.max_idle_time = kPeerIdleTimeout;
+  options.max_body_bytes = kMaxLinkBodyBytes;
   target.call = pool_.Start(
       address, RenderPost(kRaftPath, address, batch.SerializeAsString()), false,
       options, std::move(hooks));
--- a/tests/http_pool_test.cc
+++ b/tests/http_pool_test.cc
@@ -125,8 +125,8 @@
   BOOST_TEST(pool.get_opened_connections() == 1U);
 }
 
-// Guards against a look at the list of idle connections after its removal, which
-// the address sanitizer reports.
+// Guards against a look at the list of idle connections after its removal,
+// which the address sanitizer reports.
 BOOST_AUTO_TEST_CASE(a_connection_that_was_idle_for_too_long_is_replaced) {
   auto loop = event_loop();
   auto pool = http_pool(loop);
@@ -139,9 +139,9 @@
     auto is_complete = false;
     auto hooks = call_hooks();
     hooks.on_complete = [&is_complete] { is_complete = true; };
-    static_cast<void>(
-        pool.Start(peer.GetAddress(), RenderPost("/", peer.GetAddress(), "{}"),
-                   false, call_options(), std::move(hooks)));
+    static_cast<void>(pool.Start(peer.GetAddress(),
+                                 RenderPost("/", peer.GetAddress(), "{}"),
+                                 false, call_options(), std::move(hooks)));
     loop.Run([&is_complete] { return is_complete; });
     auto is_later = false;
     loop.AddTimerIn(std::chrono::milliseconds(5),
@@ -151,6 +151,37 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_body_over_the_limit_of_its_call_is_malformed) {
+  constexpr auto kLimit = std::size_t{1000};
+  const auto ok = std::string("HTTP/1.1 200 OK\r\n");
+  for (const auto bytes : {kLimit, kLimit + 1}) {
+    const auto body = std::string(bytes, 'x');
+    for (const auto& answer :
+         {ok + "Content-Length: " + std::to_string(bytes) + "\r\n\r\n" + body,
+          ok + "Transfer-Encoding: chunked\r\n\r\n" + RenderChunk(body) +
+              RenderChunk({}),
+          ok + "\r\n" + body}) {
+      auto loop = event_loop();
+      auto pool = http_pool(loop);
+      auto peer = byte_counter(loop);
+      peer.answer = answer;
+      auto failure = std::optional<call_failure>();
+      auto is_complete = false;
+      auto hooks = call_hooks();
+      hooks.on_failed = [&failure](call_failure reason) { failure = reason; };
+      hooks.on_complete = [&is_complete] { is_complete = true; };
+      auto options = call_options();
+      options.max_body_bytes = kLimit;
+      static_cast<void>(pool.Start(peer.GetAddress(),
+                                   RenderPost("/", peer.GetAddress(), "{}"),
+                                   false, options, std::move(hooks)));
+      loop.Run([&] { return failure.has_value() || is_complete; });
+      BOOST_TEST(is_complete == (bytes == kLimit));
+      BOOST_TEST((is_complete || failure == call_failure::malformed_response));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
