--- a/drivers/http_listener.cc
+++ b/drivers/http_listener.cc
@@ -1,5 +1,7 @@
 #include "drivers/http_listener.h"
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace ebony {
@@ -12,6 +14,9 @@
 constexpr int kRequestTimeout = 408;
 // Bytes that a caller may send ahead (pipeline) while its request is handled.
 constexpr std::size_t kMaxPipelinedBytes = 256 * 1024;
+// Received bytes that the parser needs again with later ones: a head, or the
+// framing of a body. Above the limit of any head.
+constexpr std::size_t kMaxUnparsedBytes = 256 * 1024;
 
 }  // namespace
 
@@ -26,6 +31,8 @@
   bool is_closing_ = false;
   bool wants_keep_alive_ = true;
   bool has_head_ = false;
+  bool is_parsing_ = false;
+  std::uint64_t max_body_bytes_ = 0;  // of the request that is received
   timer_id timer_;
 
   auto ExpectRequest() -> void {
@@ -33,12 +40,19 @@
     has_head_ = false;
     const auto limits = listener_.options_.get_limits();
     auto hooks = http_reader::hooks();
+    max_body_bytes_ = limits.body_bytes;
     hooks.on_head = [this](http_head head) {
       request_.head = std::move(head);
       has_head_ = true;
+      if (listener_.options_.get_body_limit) {
+        max_body_bytes_ = std::min(
+            max_body_bytes_, listener_.options_.get_body_limit(request_.head));
+      }
     };
     hooks.on_body = [this](std::string_view bytes) {
-      request_.body.append(bytes);
+      if (request_.body.size() <= max_body_bytes_) {
+        request_.body.append(bytes);
+      }
     };
     reader_ = std::make_unique<http_reader>(
         http_message_type::request, std::move(hooks),
@@ -57,7 +71,6 @@
   }
 
   auto Reject(int status) -> void {
-    is_closing_ = true;
     auto head = http_head();
     head.status = status;
     head.fields = {{"Content-Length", "0"}, {"Connection", "close"}};
@@ -76,37 +89,71 @@
     ParseRequests();
   }
 
+  // Handles what has been received, one request after another. Each round uses
+  // bytes of it or ends the loop.
   auto ParseRequests() -> void {
-    while (response_ == nullptr && !unparsed_.empty() && !is_closing_) {
-      if (request_.received_at == mono_time()) {
-        request_.received_at = listener_.loop_.get_now();
-        StartTimer(listener_.options_.get_limits().head_timeout,
-                   [this] { Reject(kRequestTimeout); });
-      }
-      auto consumed = std::size_t{0};
-      const auto status = reader_->Feed(unparsed_, consumed);
-      unparsed_.erase(0, consumed);
-      switch (status) {
-        case parse_status::need_more:
-          if (has_head_) {
-            StartTimer(listener_.options_.get_limits().idle_timeout,
-                       [this] { Reject(kRequestTimeout); });
-          }
-          return;
-        case parse_status::complete:
-          HandleRequest();
-          break;
-        case parse_status::malformed:
-          Reject(kBadRequest);
-          return;
-        case parse_status::head_too_large:
-          Reject(kHeadTooLarge);
-          return;
-        case parse_status::body_too_large:
-          Reject(kPayloadTooLarge);
-          return;
-      }
+    if (is_parsing_) {
+      return;  // called by a handler that has responded at once
+    }
+    is_parsing_ = true;
+    auto used = std::size_t{0};
+    auto has_request = true;
+    while (has_request && response_ == nullptr && !is_closing_ &&
+           used < unparsed_.size()) {
+      has_request = ParseRequest(used);
+    }
+    is_parsing_ = false;
+    unparsed_.erase(0, used);
+    const auto is_too_long =
+        !has_request && !is_closing_ && unparsed_.size() > kMaxUnparsedBytes;
+    if (is_too_long) {
+      Reject(has_head_ ? kBadRequest : kHeadTooLarge);
+    }
+  }
+
+  // Parses the bytes after the first `used`, to which it adds its own. Returns
+  // false unless a whole request has been passed on.
+  auto ParseRequest(std::size_t& used) -> bool {
+    if (request_.received_at == mono_time()) {
+      request_.received_at = listener_.loop_.get_now();
+      StartTimer(listener_.options_.get_limits().head_timeout,
+                 [this] { Reject(kRequestTimeout); });
+    }
+    auto consumed = std::size_t{0};
+    const auto status =
+        reader_->Feed(std::string_view(unparsed_).substr(used), consumed);
+    used += consumed;
+    if (const auto rejection = GetRejection(status)) {
+      Reject(*rejection);
+      return false;
+    }
+    if (status == parse_status::complete) {
+      HandleRequest();
+      return true;
+    }
+    if (has_head_) {
+      StartTimer(listener_.options_.get_limits().idle_timeout,
+                 [this] { Reject(kRequestTimeout); });
     }
+    return false;
+  }
+
+  // Returns the status that ends a request which cannot be handled.
+  auto GetRejection(parse_status status) const -> std::optional<int> {
+    switch (status) {
+      case parse_status::malformed:
+        return kBadRequest;
+      case parse_status::head_too_large:
+        return kHeadTooLarge;
+      case parse_status::body_too_large:
+        return kPayloadTooLarge;
+      case parse_status::need_more:
+      case parse_status::complete:
+        break;
+    }
+    return request_.body.size() > max_body_bytes_
+               ? std::optional(kPayloadTooLarge)
+               : std::nullopt;
   }
 
   auto HandleRequest() -> void {
@@ -131,6 +178,7 @@
   }
 
   auto CloseConnection() -> void {
+    is_closing_ = true;
     listener_.loop_.CancelTimer(timer_);
     socket_->CloseGracefully();
     if (socket_->get_unsent_bytes() > 0) {
--- a/drivers/http_listener.h
+++ b/drivers/http_listener.h
@@ -83,6 +83,9 @@
     std::function<connection_limits()> get_limits;
     // While it returns true, each response closes its connection.
     std::function<bool()> is_closing;
+    // Returns the largest body of a request with this head, in bytes, within
+    // the limits; may be empty.
+    std::function<std::uint64_t(const http_head&)> get_body_limit = {};
   };
 
  private:
