Coordinators bound calls by their kind; a call at the wrong address ends none

Change: 256 KiB for beats and departures, 4 MiB for configurations, 16 KiB at the directory; what can't be decoded there is refused as at the other address. Log lines of refused calls are bounded.

--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -8,6 +8,7 @@
 #include "codec/site_codec.h"
 #include "core/error_kind.h"
 #include "drivers/compression.h"
+#include "main/site_paths.h"
 #include "platform/config_codec.h"
 
 namespace ebony {
@@ -21,18 +22,26 @@
 // changes.
 constexpr duration kCensusInterval = std::chrono::milliseconds(1000);
 constexpr std::chrono::seconds kDirectoryTtl{2};
-constexpr std::uint64_t kMaxControlBodyBytes = 64 * 1024 * 1024;
+// Of a configuration, of any other call of a server or an operator, and of one
+// at the directory.
+constexpr std::uint64_t kMaxConfigBytes = std::uint64_t{4} * 1024 * 1024;
+constexpr std::uint64_t kMaxControlBodyBytes = std::uint64_t{256} * 1024;
+constexpr std::uint64_t kMaxDirectoryBodyBytes = std::uint64_t{16} * 1024;
+
+// Of a refused call, in a log line.
+constexpr std::size_t kMaxLoggedBytes = 256;
 
 constexpr int kOk = 200;
 constexpr int kTemporaryRedirect = 307;
 constexpr int kUnavailable = 503;
 constexpr int kNotFound = 404;
 
-auto MakeListenerOptions() -> http_listener::options {
+auto MakeListenerOptions(std::uint64_t max_body_bytes)
+    -> http_listener::options {
   auto options = http_listener::options();
-  options.get_limits = [] {
+  options.get_limits = [max_body_bytes] {
     auto limits = connection_limits();
-    limits.body_bytes = kMaxControlBodyBytes;
+    limits.body_bytes = max_body_bytes;
     return limits;
   };
   options.is_closing = [] { return false; };
@@ -232,17 +241,23 @@
       Respond(answer, kNotFound, {});
     }
   } catch (const ebony_error& error) {
-    const auto& row = GetErrorAnswer(error.get_kind());
-    metrics_.Count("ebony_control_refused_total");
-    log_.Write(event_category::state, "control_call_refused",
-               {{"method", call.head.method},
-                {"target", call.head.target},
-                {"error", error.what()},
-                {"status", static_cast<std::int64_t>(row.http_status)}});
-    Respond(answer, row.http_status, {});
+    RefuseCall(call.head, error, answer);
   }
 }
 
+auto coordinator_daemon::RefuseCall(const http_head& head,
+                                    const ebony_error& error,
+                                    const response_pointer& answer) -> void {
+  const auto& row = GetErrorAnswer(error.get_kind());
+  metrics_.Count("ebony_control_refused_total");
+  log_.Write(event_category::state, "control_call_refused",
+             {{"method", head.method},
+              {"target", head.target.substr(0, kMaxLoggedBytes)},
+              {"error", std::string(error.what()).substr(0, kMaxLoggedBytes)},
+              {"status", static_cast<std::int64_t>(row.http_status)}});
+  Respond(answer, row.http_status, {});
+}
+
 auto coordinator_daemon::RespondToAnnouncement(const response_pointer& answer)
     -> void {
   const auto next = raft_.is_leader() ? settings_.operator_address
@@ -392,11 +407,15 @@
 auto coordinator_daemon::OnDirectoryCall(const incoming_request& call,
                                          const response_pointer& answer)
     -> void {
-  const auto decoded = platform::DecodeControlCall(call.head, {});
-  if (const auto* resolve = std::get_if<platform::resolve_call>(&decoded)) {
-    OnResolve(*resolve, answer);
-  } else {
-    Respond(answer, kNotFound, {});
+  try {
+    const auto decoded = platform::DecodeControlCall(call.head, call.body);
+    if (const auto* resolve = std::get_if<platform::resolve_call>(&decoded)) {
+      OnResolve(*resolve, answer);
+    } else {
+      Respond(answer, kNotFound, {});
+    }
+  } catch (const ebony_error& error) {
+    RefuseCall(call.head, error, answer);
   }
 }
 
@@ -506,17 +525,23 @@
   link_listener_ = std::make_unique<http_listener>(
       loop_,
       host_port(settings_.ip + ":" + std::to_string(settings_.link_port)),
-      MakeListenerOptions(),
+      MakeListenerOptions(kMaxLinkBodyBytes),
       [this](incoming_request call, const response_pointer& answer) {
         OnLinkCall(call, answer);
       });
+  auto operator_options = MakeListenerOptions(kMaxConfigBytes);
+  operator_options.get_body_limit = [](const http_head& head) {
+    return platform::IsConfigCall(head) ? kMaxConfigBytes
+                                        : kMaxControlBodyBytes;
+  };
   operator_listener_ = std::make_unique<http_listener>(
-      loop_, settings_.operator_address, MakeListenerOptions(),
+      loop_, settings_.operator_address, operator_options,
       [this](incoming_request call, const response_pointer& answer) {
         OnControlCall(std::move(call), answer);
       });
   directory_listener_ = std::make_unique<http_listener>(
-      loop_, settings_.directory_address, MakeListenerOptions(),
+      loop_, settings_.directory_address,
+      MakeListenerOptions(kMaxDirectoryBodyBytes),
       [this](incoming_request call, const response_pointer& answer) {
         OnDirectoryCall(call, answer);
       });
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -139,6 +139,10 @@
   // when the server is not departing.
   auto AwaitPropagation(const backend_name& id, std::function<void(bool)> done)
       -> void;
+  // Answers a call that cannot be decoded.
+  auto RefuseCall(const http_head& head,
+                  const ebony_error& error,
+                  const response_pointer& answer) -> void;
   auto RespondToAnnouncement(const response_pointer& answer) -> void;
   auto Respond(const response_pointer& answer, int status, std::string body)
       -> void;
--- a/tests/coordinator_harness.cc
+++ b/tests/coordinator_harness.cc
@@ -179,6 +179,16 @@
                   std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
+auto coordinator_harness::CallOperatorAddress(const std::string& bytes)
+    -> std::shared_ptr<coordinator_response> {
+  return Call(settings_.operator_address, bytes);
+}
+
+auto coordinator_harness::CallDirectory(const std::string& bytes)
+    -> std::shared_ptr<coordinator_response> {
+  return Call(settings_.directory_address, bytes);
+}
+
 auto coordinator_harness::Announce(const std::vector<std::string>& ids) -> int {
   auto batch = schema::announce_batch();
   for (const auto& id : ids) {
--- a/tests/coordinator_harness.h
+++ b/tests/coordinator_harness.h
@@ -61,6 +61,12 @@
   // Another coordinator passes on announcements of servers with these ids.
   // Returns the status of the answer.
   auto Announce(const std::vector<std::string>& ids) -> int;
+  // Sends a whole request to the address of servers and operators, or to that
+  // of the directory.
+  auto CallOperatorAddress(const std::string& bytes)
+      -> std::shared_ptr<coordinator_response>;
+  auto CallDirectory(const std::string& bytes)
+      -> std::shared_ptr<coordinator_response>;
   // Another daemon syncs with the coordinator.
   auto Sync(const schema::sync_request& request) -> schema::sync_answer;
   // A voter that now leads in the next term overwrites the entries after the
