Entries keep no head without end

Cause: libcurl passes on heads, interim ones too, as long as they come, and the entry kept each field.

--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -15,6 +15,8 @@
 
 constexpr int kPollMs = 200;
 constexpr long kMaxIdleConnections = 512;
+// Of the heads of one call's response, interim ones included.
+constexpr std::size_t kMaxHeadBytes = std::size_t{64} * 1024;
 
 auto InitLibrary() -> void {
   static const auto result = curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -38,6 +40,7 @@
   header_map response_headers;
   bool is_head_reported = false;
   bool has_whole_head = false;  // the empty line after it has come
+  std::size_t head_bytes = 0;   // of all heads so far
 
   ~transfer() {
     curl_slist_free_all(headers);
@@ -61,6 +64,10 @@
                        std::size_t count,
                        void* context) -> std::size_t {
     auto& self = *static_cast<transfer*>(context);
+    self.head_bytes += size * count;
+    if (self.head_bytes > kMaxHeadBytes) {
+      return 0;  // makes libcurl end the transfer
+    }
     const auto line = std::string(data, size * count);
     if (line.rfind("HTTP/", 0) == 0) {
       self.response_headers.clear();
--- a/tests/entry_answer_test.cc
+++ b/tests/entry_answer_test.cc
@@ -109,6 +109,23 @@
 
 BOOST_AUTO_TEST_SUITE(entry_answers)
 
+BOOST_AUTO_TEST_CASE(a_head_without_end_is_not_kept) {
+  constexpr auto kLines = std::size_t{300000};
+  const auto status = std::string("HTTP/1.1 200 OK\r\n");
+  const auto end = std::string("Content-Length: 0\r\n\r\n");
+  for (const auto& line :
+       {std::string("X: y\r\n"), std::string("HTTP/1.1 102 X\r\n\r\n")}) {
+    auto lines = std::string();
+    for (auto i = std::size_t{0}; i < kLines; ++i) {
+      lines += line;
+    }
+    const auto is_interim = line.starts_with("HTTP");
+    const auto answer = GetAnswer(
+        is_interim ? lines + status + end : status + lines + end, false);
+    BOOST_TEST((answer.end == transfer_result::interrupted), line);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_whose_framing_breaks_off_is_not_used) {
   const auto status = std::string("HTTP/1.1 200 OK\r\n");
   const auto sized = status + "Content-Length: 9\r\n\r\nhalf";
