--- a/core/request_limit.cc
+++ b/core/request_limit.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace ebony {
 
@@ -38,17 +39,18 @@
 }
 
 auto ParseRetryAfter(std::string_view text) -> std::optional<duration> {
-  constexpr double kMaxSeconds = 600;
+  constexpr double kMaxSeconds = 365.0 * 24 * 60 * 60;
   constexpr double kMicrosecondsPerSecond = 1e6;
   auto value = 0.0;
   const auto* end = text.data() + text.size();
   const auto result =
       std::from_chars(text.data(), end, value, std::chars_format::fixed);
   const auto is_number = result.ec == std::errc() && result.ptr == end;
-  if (!is_number || !(value >= 0 && value <= kMaxSeconds)) {
+  if (!is_number || !std::isfinite(value) || value < 0) {
     return std::nullopt;
   }
-  return duration(static_cast<duration::rep>(value * kMicrosecondsPerSecond));
+  return duration(static_cast<duration::rep>(std::min(value, kMaxSeconds) *
+                                             kMicrosecondsPerSecond));
 }
 
 auto ParseRejectionCount(std::string_view text)
--- a/core/request_limit.h
+++ b/core/request_limit.h
@@ -47,8 +47,9 @@
 auto ParseRequestRate(std::string_view text) -> std::optional<request_rate>;
 
 // Parses the time for which a server wants no more requests: a decimal number
-// of seconds, without sign or exponent, of at most ten minutes. Returns no
-// value for anything else, a date included: the clocks of VMs may differ.
+// of seconds, without sign or exponent. More than a year counts as a year.
+// Returns no value for anything else, a date included: the clocks of VMs may
+// differ.
 auto ParseRetryAfter(std::string_view text) -> std::optional<duration>;
 
 // Parses a whole number of rejections, without sign. Returns std::nullopt for
