Refusals of models only where models count; a listener's own limit for heads holds

Cause, found by reading the diff: a request of a plain service with a model field that isn't text was refused, though the field means nothing there; and a configuration that allows heads over 256 KiB would have been cut at that.

Change: the check asks for an engine service; the bound on bytes that the parser can't use yet is at least the limit for heads. ReadMessage has its body once.

--- a/codec/message_reader.cc
+++ b/codec/message_reader.cc
@@ -74,24 +74,14 @@
   return count;
 }
 
-}  // namespace
-
-auto ReadMessage(const std::string& bytes, schema::sync_request& message)
-    -> std::optional<std::size_t> {
-  if (!message.ParseFromString(bytes)) {
-    return std::nullopt;
-  }
+auto EraseUnreadableRows(schema::sync_request& message) -> std::size_t {
   return EraseUnreadable(*message.mutable_demands()) +
          EraseUnreadable(*message.mutable_relayed()) +
          EraseUnreadable(*message.mutable_begun_streams()) +
          EraseUnreadable(*message.mutable_trials());
 }
 
-auto ReadMessage(const std::string& bytes, schema::sync_answer& message)
-    -> std::optional<std::size_t> {
-  if (!message.ParseFromString(bytes)) {
-    return std::nullopt;
-  }
+auto EraseUnreadableRows(schema::sync_answer& message) -> std::size_t {
   return EraseUnreadable(*message.mutable_backends()) +
          EraseUnreadable(*message.mutable_gateways()) +
          EraseUnreadable(*message.mutable_relays()) +
@@ -101,12 +91,34 @@
          EraseUnreadable(*message.mutable_trials());
 }
 
-auto ReadMessage(const std::string& bytes, schema::announce_batch& message)
+auto EraseUnreadableRows(schema::announce_batch& message) -> std::size_t {
+  return EraseUnreadable(*message.mutable_backends());
+}
+
+template <typename Message>
+auto ParseAndErase(const std::string& bytes, Message& message)
     -> std::optional<std::size_t> {
   if (!message.ParseFromString(bytes)) {
     return std::nullopt;
   }
-  return EraseUnreadable(*message.mutable_backends());
+  return EraseUnreadableRows(message);
+}
+
+}  // namespace
+
+auto ReadMessage(const std::string& bytes, schema::sync_request& message)
+    -> std::optional<std::size_t> {
+  return ParseAndErase(bytes, message);
+}
+
+auto ReadMessage(const std::string& bytes, schema::sync_answer& message)
+    -> std::optional<std::size_t> {
+  return ParseAndErase(bytes, message);
+}
+
+auto ReadMessage(const std::string& bytes, schema::announce_batch& message)
+    -> std::optional<std::size_t> {
+  return ParseAndErase(bytes, message);
 }
 
 }  // namespace ebony
--- a/drivers/http_listener.cc
+++ b/drivers/http_listener.cc
@@ -14,8 +14,8 @@
 constexpr int kRequestTimeout = 408;
 // Bytes that a caller may send ahead (pipeline) while its request is handled.
 constexpr std::size_t kMaxPipelinedBytes = 256 * 1024;
-// Received bytes that the parser needs again with later ones: a head, or the
-// framing of a body. Above the limit of any head.
+// Received bytes that the parser needs again with later ones: the framing of a
+// body, or a head, for which a listener may allow more.
 constexpr std::size_t kMaxUnparsedBytes = 256 * 1024;
 
 }  // namespace
@@ -104,9 +104,9 @@
     }
     is_parsing_ = false;
     unparsed_.erase(0, used);
-    const auto is_too_long =
-        !has_request && !is_closing_ && unparsed_.size() > kMaxUnparsedBytes;
-    if (is_too_long) {
+    const auto limit = std::max<std::size_t>(
+        kMaxUnparsedBytes, listener_.options_.get_limits().head_bytes);
+    if (!has_request && !is_closing_ && unparsed_.size() > limit) {
       Reject(has_head_ ? kBadRequest : kHeadTooLarge);
     }
   }
--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -529,7 +529,9 @@
                                 std::optional<handover_terms> terms,
                                 const response_pointer& answer) -> void {
   // No configuration names such a model, and no message could.
-  if (!IsUtf8(metadata.model.get()) || !IsUtf8(metadata.adapter.get())) {
+  const auto names_model =
+      IsUtf8(metadata.model.get()) && IsUtf8(metadata.adapter.get());
+  if (service.engine && !names_model) {
     RejectCall(metadata, error_kind::invalid_request, kBadRequest, answer);
     return;
   }
