The crash harness walks its requests by index; a retry may add one

Cause, found by the address sanitizer: crash_site::RunServer held an iterator of a server's running requests while a retry pushed another request to the same server (heap-use-after-free in crash_suspects/a_gateway_that_is_cut_off_finds_the_ segment_by_itself). A fault of the test's own simulation, not of the product.

Change: the loop goes by index over the requests that were there.

--- a/tests/crash_harness.cc
+++ b/tests/crash_harness.cc
@@ -229,7 +229,10 @@
     return;
   }
   auto has_crashed = false;
-  for (auto& request : item.running) {
+  const auto count = item.running.size();
+  // By index: a retry may add a request to this server.
+  for (auto i = std::size_t{0}; i < count; ++i) {
+    auto& request = item.running.at(i);
     auto& source = gateways_.at(request.gateway);
     const auto is_known = source.run == request.gateway_run;
     if (!request.has_begun && now_ >= request.begins) {
