--- a/tests/entry_answer_test.cc
+++ b/tests/entry_answer_test.cc
@@ -109,14 +109,15 @@
 
 BOOST_AUTO_TEST_SUITE(entry_answers)
 
+// Over the entry's own limit, and below that of libcurl.
 BOOST_AUTO_TEST_CASE(a_head_without_end_is_not_kept) {
-  constexpr auto kLines = std::size_t{300000};
+  constexpr auto kBytes = std::size_t{128} * 1024;
   const auto status = std::string("HTTP/1.1 200 OK\r\n");
   const auto end = std::string("Content-Length: 0\r\n\r\n");
   for (const auto& line :
        {std::string("X: y\r\n"), std::string("HTTP/1.1 102 X\r\n\r\n")}) {
     auto lines = std::string();
-    for (auto i = std::size_t{0}; i < kLines; ++i) {
+    while (lines.size() < kBytes) {
       lines += line;
     }
     const auto is_interim = line.starts_with("HTTP");
