Logs say which connection an attempt used, and which answers were skipped

No decision changes: sent is written after the attempt has started instead of before. Measured: the unit tests of pool and faulty answers pass.

--- a/drivers/http_pool.cc
+++ b/drivers/http_pool.cc
@@ -59,6 +59,8 @@
     : public std::enable_shared_from_this<pooled_connection> {
   http_pool& pool_;
   host_port address_;
+  std::uint64_t number_;
+  std::uint64_t calls_ = 0;  // sent on this connection so far
   std::shared_ptr<stream_socket> socket_;
   std::unique_ptr<http_reader> reader_;
   call_hooks hooks_;
@@ -213,9 +215,10 @@
   }
 
  public:
-  pooled_connection(http_pool& pool, host_port address)
+  pooled_connection(http_pool& pool, host_port address, std::uint64_t number)
       : pool_(pool),
         address_(std::move(address)),
+        number_(number),
         socket_(std::make_shared<stream_socket>(pool.loop_)) {}
 
   auto Open(duration connect_timeout) -> void {
@@ -260,7 +263,8 @@
   auto Send(const std::string& bytes,
             bool is_head_request,
             const call_options& options,
-            call_hooks hooks) -> void {
+            call_hooks hooks) -> call_path {
+    const auto path = call_path{number_, calls_++};
     is_busy_ = true;
     may_send_ = options.may_send;
     max_body_bytes_ = options.max_body_bytes;
@@ -273,6 +277,7 @@
     ExpectResponse();
     pool_.busy_.insert(shared_from_this());
     socket_->Send(bytes);
+    return path;
   }
 
   auto Close() -> void {
@@ -296,8 +301,9 @@
   }
 };
 
-pooled_call::pooled_call(std::weak_ptr<pooled_connection> connection)
-    : connection_(std::move(connection)) {}
+pooled_call::pooled_call(std::weak_ptr<pooled_connection> connection,
+                         call_path path)
+    : connection_(std::move(connection)), path_(path) {}
 
 auto pooled_call::Cancel() -> void {
   if (const auto connection = connection_.lock()) {
@@ -367,11 +373,13 @@
                         : TakeIdle(address, options.max_idle_time);
   if (connection == nullptr) {
     ++opened_connections_;
-    connection = std::make_shared<pooled_connection>(*this, address);
+    connection = std::make_shared<pooled_connection>(*this, address,
+                                                     opened_connections_);
     connection->Open(options.connect_timeout);
   }
-  connection->Send(bytes, is_head_request, options, std::move(hooks));
-  return std::make_unique<pooled_call>(connection);
+  const auto path =
+      connection->Send(bytes, is_head_request, options, std::move(hooks));
+  return std::make_unique<pooled_call>(connection, path);
 }
 
 auto http_pool::CloseIdle(const host_port& address) -> void {
--- a/drivers/http_pool.h
+++ b/drivers/http_pool.h
@@ -54,14 +54,23 @@
   std::function<bool()> may_send;
 };
 
+// The connection that a call uses, for log lines.
+struct call_path {
+  std::uint64_t connection = 0;     // counted from 1, as the pool opened them
+  std::uint64_t earlier_calls = 0;  // on this connection
+};
+
 class pooled_connection;
 
 // Handle of a call in flight. Destroying it does not cancel the call.
 class pooled_call {
   std::weak_ptr<pooled_connection> connection_;
+  call_path path_;
 
  public:
-  explicit pooled_call(std::weak_ptr<pooled_connection> connection);
+  pooled_call(std::weak_ptr<pooled_connection> connection, call_path path);
+
+  auto get_path() const -> const call_path& { return path_; }
 
   // Cancels the call by closing its connection. No hook is called any more.
   auto Cancel() -> void;
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -205,6 +205,10 @@
     forward.priority = std::clamp(rule_.priority, 0, 9);
   }
   forward.resume_after = GetResumePoint();
+  const auto load = context_.selector.GetLoad(server_, now).requests;
+  context_.paths.OnAttemptStarted();
+  StartAttempt(server.address, platform::MakeForwardedHead(call_.head, forward,
+                                                           call_.body.size()));
   context_.log.Write(
       event_category::request, "sent",
       {{"request", metadata_.id.get()},
@@ -218,13 +222,11 @@
        {"after", forward.resume_after.value_or("")},
        {"attempt", static_cast<std::int64_t>(attempts_)},
        {"trial", evidence_.on_trial.empty() ? "no" : "yes"},
-       {"load", static_cast<std::int64_t>(
-                    context_.selector.GetLoad(server_, now).requests)},
+       {"load", static_cast<std::int64_t>(load)},
+       {"connection_number", static_cast<std::int64_t>(path_.connection)},
+       {"earlier_calls", static_cast<std::int64_t>(path_.earlier_calls)},
        {"permit", std::string(GetPermitSourceText(permit))},
        {"left_ms", forward.time_left}});
-  context_.paths.OnAttemptStarted();
-  StartAttempt(server.address, platform::MakeForwardedHead(call_.head, forward,
-                                                           call_.body.size()));
 }
 
 auto proxy_session::GetResumePoint() const -> std::optional<std::string> {
@@ -255,6 +257,7 @@
   attempt_ =
       context_.pool.Start(address, RenderRequestHead(head).append(call_.body),
                           call_.head.method == "HEAD", options, MakeHooks());
+  path_ = attempt_->get_path();
   ArmStallTimer();
 }
 
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -128,6 +128,7 @@
   std::optional<handover_result> peer_result_;  // of the latest attempt
   bool may_have_run_ = false;
   std::unique_ptr<pooled_call> attempt_;  // in flight, or null
+  call_path path_;                        // of the latest attempt
   timer_id stall_timer_;
   backend_name server_;  // of the latest attempt
   std::uint64_t server_start_time_ms_ = 0;
@@ -244,6 +245,8 @@
   // Returns what became of the latest attempt's connection, for log lines.
   auto GetConnectionText() const -> std::string_view;
   auto OnHead(const http_head& head) -> bool;
+  // An answer to another request has arrived; it is skipped.
+  auto OnForeignAnswer(const server_answer& answer) -> void;
   auto RecordBytes() -> void;
   // Records whether the server says that it is about to stop.
   auto RecordLeaving(const server_answer& answer) -> void;
--- a/main/proxy_session_answer.cc
+++ b/main/proxy_session_answer.cc
@@ -50,7 +50,7 @@
                            decoded.echoed_id == caller_request_id();
   if (is_doubtful || (decoded.echoed_id != caller_request_id() &&
                       decoded.echoed_id != metadata_.id)) {
-    context_.counters.Count("ebony_foreign_answers_total");
+    OnForeignAnswer(decoded);
     return false;
   }
   response_head_ = head;
@@ -69,6 +69,20 @@
   return true;
 }
 
+auto proxy_session::OnForeignAnswer(const server_answer& answer) -> void {
+  context_.counters.Count("ebony_foreign_answers_total");
+  context_.log.Write(
+      event_category::request, "answer_skipped",
+      {{"request", metadata_.id.get()},
+       {"echoed", answer.echoed_id.get()},
+       {"status", static_cast<std::int64_t>(answer.status)},
+       {"not_run", answer.not_run ? "yes" : "no"},
+       {"backend", server_.get()},
+       {"peer", peer_.get()},
+       {"connection_number", static_cast<std::int64_t>(path_.connection)},
+       {"earlier_calls", static_cast<std::int64_t>(path_.earlier_calls)}});
+}
+
 auto proxy_session::RecordBytes() -> void {
   last_received_ = context_.loop.get_now();
   if (!IsDirect()) {
