--- a/tests/gateway_harness.cc
+++ b/tests/gateway_harness.cc
@@ -557,6 +557,16 @@
   }
 }
 
+auto gateway_harness::ReplaceServer(std::size_t server, const std::string& id)
+    -> void {
+  auto& replaced = *servers.at(server);
+  auto status = registry_.Find(backend_name(replaced.id))->status;
+  replaced.id = id;
+  status.id = backend_name(id);
+  registry_.Announce(status, loop_.get_now());
+  UpdateBackend(server, [](backend_status&) {});
+}
+
 auto gateway_harness::SetEngine(std::size_t server,
                                 const std::vector<std::string>& models,
                                 std::uint32_t slots) -> void {
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -220,6 +220,9 @@
   auto RestartServer(std::size_t server) -> void;
   // The same for all servers that have crashed.
   auto RestartCrashed() -> void;
+  // A server with this id appears at the address of another, which has gone
+  // without a word.
+  auto ReplaceServer(std::size_t server, const std::string& id) -> void;
   // Moves a server to the engine service `e` with these models loaded.
   auto SetEngine(std::size_t server,
                  const std::vector<std::string>& models,
--- a/tests/http_pool_test.cc
+++ b/tests/http_pool_test.cc
@@ -13,6 +13,7 @@
   std::size_t received = 0;
   std::string answer = {};  // sent before it closes; empty: it does neither
   bool keeps_open = false;  // after an answer
+  std::size_t resets_after = 0;  // bytes; 0: never
   std::vector<std::shared_ptr<stream_socket>> sockets;
   stream_acceptor acceptor;
 
@@ -28,6 +29,10 @@
     const auto socket = sockets.back();
     hooks.on_bytes = [this, socket](std::string_view bytes) {
       received += bytes.size();
+      if (resets_after > 0 && received >= resets_after) {
+        socket->Reset();
+        return;
+      }
       if (!answer.empty()) {
         socket->Send(answer);
         keeps_open ? void() : socket->CloseGracefully();
@@ -92,6 +97,41 @@
   }
 }
 
+// An attempt that counts as unsent is made again, whatever it may have run.
+BOOST_AUTO_TEST_CASE(a_call_of_which_bytes_arrived_never_counts_as_unsent) {
+  for (const auto is_used : {false, true}) {
+    for (const auto body_bytes : {std::size_t{2}, std::size_t{4000000}}) {
+      auto loop = event_loop();
+      auto pool = http_pool(loop);
+      auto peer = byte_counter(loop);
+      peer.answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+      peer.keeps_open = true;
+      auto is_over = false;
+      auto failure = std::optional<call_failure>();
+      const auto start = [&](const std::string& body) {
+        is_over = false;
+        auto hooks = call_hooks();
+        hooks.on_complete = [&is_over] { is_over = true; };
+        hooks.on_failed = [&](call_failure reason) {
+          failure = reason;
+          is_over = true;
+        };
+        static_cast<void>(pool.Start(peer.GetAddress(),
+                                     RenderPost("/", peer.GetAddress(), body),
+                                     false, call_options(), std::move(hooks)));
+        loop.Run([&is_over] { return is_over; });
+      };
+      if (is_used) {
+        start("{}");
+      }
+      peer.resets_after = peer.received + 1;
+      start(std::string(body_bytes, 'x'));
+      BOOST_TEST(failure.has_value());
+      BOOST_TEST((failure == call_failure::interrupted));
+    }
+  }
+}
+
 // Guards against attempts that end before their handle is known, which were
 // counted as running at their server for good.
 BOOST_AUTO_TEST_CASE(a_call_on_a_broken_connection_fails_after_its_start) {
