--- /dev/null
+++ b/tests/order_calls_test.cc
@@ -0,0 +1,113 @@
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/backend_registry.h"
+#include "core/metrics.h"
+#include "drivers/event_log.h"
+#include "drivers/http_pool.h"
+#include "main/order_executor.h"
+
+namespace ebony::testing {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+auto MakeReport(bool is_busy, const std::string& model) -> std::string {
+  const auto body = std::string(R"({"stage":"both","busy":)") +
+                    (is_busy ? "true" : "false") +
+                    R"(,"seq":3,"models":[{"name":")" + model +
+                    R"(","version":1,"adapters":[]}]})";
+  return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+         "Content-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// A server on loopback. It answers the first call as busy, all later ones as
+// idle, and writes the first answer once more before the next one on the same
+// connection.
+struct repeating_server {
+  event_loop& loop;
+  int calls = 0;
+  std::vector<std::shared_ptr<stream_socket>> sockets;
+  stream_acceptor acceptor;
+
+  explicit repeating_server(event_loop& used_loop)
+      : loop(used_loop),
+        acceptor(loop, host_port("127.0.0.1:0"), [this](int fd) {
+          Adopt(fd);
+        }) {}
+
+  auto Adopt(int fd) -> void {
+    sockets.push_back(std::make_shared<stream_socket>(loop));
+    const auto socket = sockets.back();
+    const auto repeated = std::make_shared<std::string>();
+    auto hooks = stream_socket::hooks();
+    hooks.on_bytes = [this, socket, repeated](std::string_view) {
+      const auto answer = MakeReport(calls++ == 0, "m");
+      socket->Send(*repeated + answer);
+      *repeated = calls == 1 ? answer : "";
+    };
+    socket->Adopt(fd, std::move(hooks));
+  }
+
+  auto GetAddress() const -> host_port {
+    return host_port("127.0.0.1:" + std::to_string(acceptor.GetPort()));
+  }
+};
+
+auto MakeConfig() -> site_config {
+  auto config = site_config();
+  auto service = service_spec();
+  service.name = service_name("e");
+  service.engine = engine_spec();
+  config.services[service.name] = service;
+  return config;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(order_calls)
+
+BOOST_AUTO_TEST_CASE(a_report_repeated_late_is_not_taken_for_the_next_one) {
+  auto loop = event_loop();
+  auto log = event_log("test", 0);
+  auto counters = metrics();
+  auto pool = http_pool(loop);
+  auto registry = backend_registry(backend_registry_options());
+  auto server = repeating_server(loop);
+  const auto settings = site_settings();
+  auto orders = order_executor(
+      settings, loop, pool, log, counters, registry, [] { return true; },
+      [](const backend_name&) { return 0.0; }, [] {});
+  const auto config = MakeConfig();
+  orders.StartLeading(1);
+  auto is_later = false;
+  loop.AddTimerIn(milliseconds(250), [&is_later] { is_later = true; });
+  loop.Run([&is_later] { return is_later; });
+  auto status = backend_status();
+  status.id = backend_name("i-0");
+  status.service = service_name("e");
+  status.address = server.GetAddress();
+  status.sequence = 1;
+  registry.Announce(status, loop.get_now());
+  const auto knows_models = [&] {
+    auto known = status;
+    orders.ApplyKnownModels(known);
+    return !known.models.empty();
+  };
+  const auto end = loop.get_now() + std::chrono::seconds(3);
+  RepeatEvery(loop, milliseconds(20), [&] { orders.Tick(config); });
+  loop.Run([&] { return knows_models() || loop.get_now() > end; });
+  BOOST_TEST(knows_models());
+  // The second answer is believed; the copy of the first says "busy" again.
+  BOOST_TEST(server.calls == 2);
+  BOOST_TEST(server.sockets.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace ebony::testing
