An answer is believed only if nothing else on its connection can be meant

Cause: what decides whose answer comes next is the connection and the id that went over it, but each caller of the pool had a rule of its own: proxy_session asked for a new connection if the server *of that id* had refused the request, so the same connection was used again once the server had another id, or by a second request with that id; an answer without an id was anybody's; reports and orders looked at nothing. Class: a decision taken from a name beside the thing that it is about. Ruled out: an attempt that counts as unsent though bytes arrived (a test at the pool); refusals by peers (our own listener answers each call once and in order). Change: one class, answer_matcher, in each connection of the pool. An id goes over a connection once; a call without an id only over a new one, which is closed afterwards; an answer without an id is believed on the first call only; between processes of this system, order decides. needs_new_connection, refused_by_ and the orders' idle time of 0 us are gone; a refused request may now go over another kept connection, where before it always got a new one. The tests' callers and operators use MakeLinkOptions, as they speak to this system and keep their connections open.

--- a/drivers/http_pool.cc
+++ b/drivers/http_pool.cc
@@ -60,7 +60,7 @@
   http_pool& pool_;
   host_port address_;
   std::uint64_t number_;
-  std::uint64_t calls_ = 0;  // sent on this connection so far
+  answer_matcher matcher_;
   std::shared_ptr<stream_socket> socket_;
   std::unique_ptr<http_reader> reader_;
   call_hooks hooks_;
@@ -109,7 +109,11 @@
       is_skipping_ = true;
       return;
     }
-    is_skipping_ = hooks_.on_head && !hooks_.on_head(head);
+    is_skipping_ = !matcher_.IsOwn(pool_.get_answered_id_(head));
+    const auto& hook = is_skipping_ ? hooks_.on_foreign_head : hooks_.on_head;
+    if (hook) {
+      hook(head);
+    }
   }
 
   auto OnBytes(std::string_view bytes) -> void {
@@ -160,7 +164,8 @@
     const auto is_request_sent =
         socket_->get_unsent_bytes() == 0 && socket_->is_open();
     const auto hooks = std::exchange(hooks_, {});
-    if (has_no_surplus && keep_alive_ && is_request_sent) {
+    if (has_no_surplus && keep_alive_ && is_request_sent &&
+        matcher_.IsReusable()) {
       idle_since_ = pool_.loop_.get_now();
       pool_.AddIdle(shared_from_this());
     } else {
@@ -264,7 +269,8 @@
             bool is_head_request,
             const call_options& options,
             call_hooks hooks) -> call_path {
-    const auto path = call_path{number_, calls_++};
+    const auto path = call_path{number_, matcher_.get_calls()};
+    matcher_.OnSent(options.id, options.matching);
     is_busy_ = true;
     may_send_ = options.may_send;
     max_body_bytes_ = options.max_body_bytes;
@@ -294,6 +300,9 @@
   auto HasSentBytes() const -> bool {
     return socket_->get_sent_bytes() > sent_bytes_before_call_;
   }
+  auto CanCarry(const call_options& options) const -> bool {
+    return matcher_.CanCarry(options.id, options.matching);
+  }
   auto get_address() const -> const host_port& { return address_; }
   auto IsReusable(mono_time now, duration max_idle_time) const -> bool {
     return socket_->is_open() &&
@@ -320,23 +329,32 @@
   return true;
 }
 
-http_pool::http_pool(event_loop& loop) : loop_(loop) {}
+http_pool::http_pool(event_loop& loop, answered_id_reader get_answered_id)
+    : loop_(loop), get_answered_id_(std::move(get_answered_id)) {}
 
-auto http_pool::TakeIdle(const host_port& address, duration max_idle_time)
+auto http_pool::TakeIdle(const host_port& address, const call_options& options)
     -> std::shared_ptr<pooled_connection> {
-  // Looked up again each time: closing the last idle connection removes the
-  // list.
-  for (auto found = idle_.find(address); found != idle_.end();
-       found = idle_.find(address)) {
-    const auto connection = found->second.back();
-    if (connection->IsReusable(loop_.get_now(), max_idle_time)) {
-      RemoveIdle(connection);
-      return connection;
+  const auto found = idle_.find(address);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  const auto now = loop_.get_now();
+  auto& idle = found->second;
+  // The latest is at the end. Closing a connection takes it off the list, and
+  // closing the only one removes the list, which ends the loop.
+  for (auto left = idle.size(); left > 0; --left) {
+    const auto connection = idle[left - 1];
+    if (!connection->IsReusable(now, duration::max())) {
+      connection->Close();
+      continue;
     }
-    if (connection->IsReusable(loop_.get_now(), duration::max())) {
+    if (!connection->IsReusable(now, options.max_idle_time)) {
       return nullptr;  // the others have been idle even longer
     }
-    connection->Close();
+    if (connection->CanCarry(options)) {
+      RemoveIdle(connection);
+      return connection;
+    }
   }
   return nullptr;
 }
@@ -368,9 +386,7 @@
                       bool is_head_request,
                       const call_options& options,
                       call_hooks hooks) -> std::unique_ptr<pooled_call> {
-  auto connection = options.needs_new_connection
-                        ? nullptr
-                        : TakeIdle(address, options.max_idle_time);
+  auto connection = TakeIdle(address, options);
   if (connection == nullptr) {
     ++opened_connections_;
     connection = std::make_shared<pooled_connection>(*this, address,
@@ -393,6 +409,12 @@
   }
 }
 
+auto MakeLinkOptions() -> call_options {
+  auto options = call_options();
+  options.matching = answer_matching::by_order;
+  return options;
+}
+
 auto RenderPost(const std::string& target,
                 const host_port& address,
                 const std::string& body) -> std::string {
--- a/drivers/http_pool.h
+++ b/drivers/http_pool.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/ids.h"
+#include "drivers/answer_matcher.h"
 #include "drivers/event_loop.h"
 #include "drivers/http_message.h"
 #include "drivers/stream_socket.h"
@@ -31,9 +32,9 @@
 struct call_hooks {
   // A new connection was made for this call. May be empty.
   std::function<void()> on_connected;
-  // Returns false when the response belongs to another request. It is then
-  // skipped, and the call waits for the next response on the connection.
-  std::function<bool(const http_head&)> on_head;
+  std::function<void(const http_head&)> on_head;
+  // A response to another call has arrived and is skipped. May be empty.
+  std::function<void(const http_head&)> on_foreign_head;
   std::function<void(std::string_view)> on_body;
   std::function<void()> on_complete;
   std::function<void(call_failure)> on_failed;
@@ -41,8 +42,8 @@
 
 struct call_options {
   duration connect_timeout = std::chrono::milliseconds(500);
-  // The call gets a connection of its own, not one that was used before.
-  bool needs_new_connection = false;
+  call_id id;
+  answer_matching matching = answer_matching::by_id;
   // A pooled connection that has been idle for longer is not used for this
   // call.
   duration max_idle_time = std::chrono::seconds(1);
@@ -79,23 +80,31 @@
   auto CancelIfUnsent() -> bool;
 };
 
+// Options for calls to processes of this system.
+auto MakeLinkOptions() -> call_options;
+
+// Returns the id of the call that a response names as its own; empty: none.
+using answered_id_reader = std::function<call_id(const http_head&)>;
+
 // Runs HTTP/1.1 calls on persistent connections, one call at a time on each. A
-// call is sent at most once: the pool never retries it.
+// call is sent at most once: the pool never retries it. An `answer_matcher` of
+// each connection decides which responses the hooks of a call get to see.
 class http_pool {
   event_loop& loop_;
+  answered_id_reader get_answered_id_;
   std::map<host_port, std::vector<std::shared_ptr<pooled_connection>>> idle_;
   std::set<std::shared_ptr<pooled_connection>> busy_;
   std::uint64_t opened_connections_ = 0;
 
   friend class pooled_connection;
 
-  auto TakeIdle(const host_port& address, duration max_idle_time)
+  auto TakeIdle(const host_port& address, const call_options& options)
       -> std::shared_ptr<pooled_connection>;
   auto AddIdle(const std::shared_ptr<pooled_connection>& connection) -> void;
   auto RemoveIdle(const std::shared_ptr<pooled_connection>& connection) -> void;
 
  public:
-  explicit http_pool(event_loop& loop);
+  http_pool(event_loop& loop, answered_id_reader get_answered_id);
 
   // Starts a call on an idle connection, or on a new one. `bytes` is the
   // complete serialized request.
--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -10,6 +10,7 @@
 #include "drivers/compression.h"
 #include "main/site_paths.h"
 #include "platform/config_codec.h"
+#include "platform/request_codec.h"
 
 namespace ebony {
 
@@ -70,7 +71,7 @@
       loop_(loop),
       log_(log),
       metrics_(counters),
-      pool_(loop),
+      pool_(loop, &platform::DecodeAnsweredId),
       raft_(settings_,
             loop,
             pool_,
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -64,10 +64,7 @@
   *batch.add_backends() = row;
   const auto status = std::make_shared<int>(0);
   auto hooks = call_hooks();
-  hooks.on_head = [status](const http_head& head) {
-    *status = head.status;
-    return true;
-  };
+  hooks.on_head = [status](const http_head& head) { *status = head.status; };
   hooks.on_complete = [this, status, answer] {
     if (*status == kOk) {
       RespondToAnnouncement(answer);
@@ -78,7 +75,7 @@
   hooks.on_failed = [this, answer](call_failure) {
     Respond(answer, kUnavailable, {});
   };
-  auto options = call_options();
+  auto options = MakeLinkOptions();
   options.max_idle_time = kLinkIdleTimeout;
   options.connect_timeout = kForwardTimeout;
   const auto call = std::shared_ptr<pooled_call>(pool_.Start(
@@ -545,14 +542,13 @@
   }
   const auto body = std::make_shared<std::string>();
   auto hooks = call_hooks();
-  hooks.on_head = [](const http_head&) { return true; };
   hooks.on_body = [body](std::string_view bytes) { body->append(bytes); };
   hooks.on_complete = [this, body] {
     leader_sync_call_ = nullptr;
     OnLeaderSyncAnswer(*body);
   };
   hooks.on_failed = [this](call_failure) { leader_sync_call_ = nullptr; };
-  auto options = call_options();
+  auto options = MakeLinkOptions();
   options.max_idle_time = kLinkIdleTimeout;
   options.max_body_bytes = kMaxLinkBodyBytes;
   leader_sync_call_ = pool_.Start(
--- a/main/gateway_link.cc
+++ b/main/gateway_link.cc
@@ -121,11 +121,10 @@
   is_connected_ = false;
   auto hooks = call_hooks();
   hooks.on_connected = [this] { is_connected_ = true; };
-  hooks.on_head = [](const http_head&) { return true; };
   hooks.on_body = [body](std::string_view bytes) { body->append(bytes); };
   hooks.on_complete = [this, to, body] { OnAnswer(to, *body); };
   hooks.on_failed = [this, to](call_failure) { OnFailure(to); };
-  auto options = call_options();
+  auto options = MakeLinkOptions();
   options.connect_timeout = kSyncTimeout;
   options.max_idle_time = kMaxConnectionIdle;
   options.max_body_bytes = kMaxLinkBodyBytes;
--- a/main/order_executor.cc
+++ b/main/order_executor.cc
@@ -135,7 +135,6 @@
   const auto id = status.id;
   const auto body = std::make_shared<std::string>();
   auto hooks = call_hooks();
-  hooks.on_head = [](const http_head&) { return true; };
   hooks.on_body = [body](std::string_view bytes) { body->append(bytes); };
   hooks.on_complete = [this, id, body] {
     EndCall(id);
@@ -189,7 +188,6 @@
     return;
   }
   auto hooks = call_hooks();
-  hooks.on_head = [](const http_head&) { return true; };
   hooks.on_complete = [this, id] { server_states_[id].check = nullptr; };
   hooks.on_failed = [this, id](call_failure failure) {
     server_states_[id].check = nullptr;
@@ -199,7 +197,6 @@
   };
   auto options = call_options();
   options.connect_timeout = kReachabilityTimeout;
-  options.max_idle_time = duration(0);
   metrics_.Count("ebony_report_calls_total");
   state.check = pool_.Start(record->status.address,
                             platform::RenderReportCall(record->status), false,
@@ -242,10 +239,7 @@
   }
   const auto code = std::make_shared<int>(0);
   auto hooks = call_hooks();
-  hooks.on_head = [code](const http_head& head) {
-    *code = head.status;
-    return true;
-  };
+  hooks.on_head = [code](const http_head& head) { *code = head.status; };
   hooks.on_complete = [this, id, order, code] {
     OnOrderAnswered(id, order, *code);
   };
@@ -253,8 +247,6 @@
     OnOrderUnanswered(id, order);
   };
   auto options = call_options();
-  // An idle connection may already be closed by the server, so none is reused.
-  options.max_idle_time = duration(0);
   options.may_send = is_confirmed_leader_;
   metrics_.Count(order.is_load ? "ebony_orders_total{op=\"load\"}"
                                : "ebony_orders_total{op=\"unload\"}");
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -240,7 +240,6 @@
   last_received_ = sent_at_;
   connection_failure_.reset();
   is_new_connection_ = false;
-  is_first_call_ = false;
   response_head_ = http_head();
   server_answer_ = server_answer();
   response_body_.clear();
@@ -249,8 +248,9 @@
   auto options = call_options();
   options.connect_timeout = kConnectTimeout;
   options.max_body_bytes = kMaxAnswerBytes;
-  // The refusal may come once more on the connection that it came on.
-  options.needs_new_connection = IsDirect() && refused_by_.contains(server_);
+  options.id = call_id(metadata_.id.get());
+  options.matching =
+      IsDirect() ? answer_matching::by_id : answer_matching::by_order;
   options.max_idle_time = rule_.retry == retry_policy::idempotent
                               ? kMaxIdleIdempotent
                               : kMaxIdleRunOnce;
@@ -265,7 +265,10 @@
   const auto self = shared_from_this();
   auto hooks = call_hooks();
   hooks.on_connected = [self] { self->OnConnected(); };
-  hooks.on_head = [self](const http_head& head) { return self->OnHead(head); };
+  hooks.on_head = [self](const http_head& head) { self->OnHead(head); };
+  hooks.on_foreign_head = [self](const http_head& head) {
+    self->OnForeignHead(head);
+  };
   hooks.on_body = [self](std::string_view bytes) { self->OnBody(bytes); };
   hooks.on_complete = [self] { self->OnComplete(); };
   hooks.on_failed = [self](call_failure failure) {
@@ -294,7 +297,6 @@
   context_.counters.Count(
       "ebony_server_connections_total{result=\"accepted\"}");
   is_new_connection_ = true;
-  is_first_call_ = true;
 }
 
 auto proxy_session::GetConnectionText() const -> std::string_view {
@@ -478,7 +480,6 @@
 
 auto proxy_session::RecordRejection() -> void {
   ++not_run_answers_;
-  refused_by_.insert(server_);
   context_.counters.Count("ebony_server_rejections_total{status=\"" +
                           std::to_string(server_answer_.status) + "\"}");
   RecordFullServer();
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -120,7 +120,6 @@
   int attempts_ = 0;          // servers that received at least one byte
   int connect_failures_ = 0;  // servers that could not be connected to
   int not_run_answers_ = 0;   // servers that stated that they did not run it
-  std::set<backend_name> refused_by_;  // these servers
   std::set<backend_name> tried_servers_;
   std::set<vm_name> tried_peers_;
   // The peer that the latest attempt was handed over to; empty: none.
@@ -144,7 +143,6 @@
   std::optional<call_failure> connection_failure_;
   // The connection was made for this attempt and has not been answered yet.
   bool is_new_connection_ = false;
-  bool is_first_call_ = false;  // of its connection
   http_head response_head_;
   server_answer server_answer_;
   bool is_streaming_ = false;  // the body is forwarded as it arrives
@@ -244,9 +242,9 @@
   auto OnConnected() -> void;
   // Returns what became of the latest attempt's connection, for log lines.
   auto GetConnectionText() const -> std::string_view;
-  auto OnHead(const http_head& head) -> bool;
+  auto OnHead(const http_head& head) -> void;
   // An answer to another request has arrived; it is skipped.
-  auto OnForeignAnswer(const server_answer& answer) -> void;
+  auto OnForeignHead(const http_head& head) -> void;
   auto RecordBytes() -> void;
   // Records whether the server says that it is about to stop.
   auto RecordLeaving(const server_answer& answer) -> void;
--- a/main/proxy_session_answer.cc
+++ b/main/proxy_session_answer.cc
@@ -32,7 +32,7 @@
 
 }  // namespace
 
-auto proxy_session::OnHead(const http_head& head) -> bool {
+auto proxy_session::OnHead(const http_head& head) -> void {
   RecordBytes();
   if (!IsDirect()) {
     peer_result_ = TakePeerResult(head);
@@ -44,15 +44,6 @@
   }
   const auto decoded = platform::DecodeServerAnswer(head);
   RecordLeaving(decoded);
-  // On a connection that was used before, a refusal without an id may be that
-  // of an earlier request.
-  const auto is_doubtful = decoded.not_run && !is_first_call_ && IsDirect() &&
-                           decoded.echoed_id == caller_request_id();
-  if (is_doubtful || (decoded.echoed_id != caller_request_id() &&
-                      decoded.echoed_id != metadata_.id)) {
-    OnForeignAnswer(decoded);
-    return false;
-  }
   response_head_ = head;
   std::erase_if(response_head_.fields, [](const http_field& field) {
     return IsSameFieldName(field.name, kHandoverResultField);
@@ -66,10 +57,12 @@
   is_streaming_ = rule_.is_stream && call_.head.method != "HEAD" &&
                   head.status == kOk && decoded.is_signed &&
                   !decoded.has_content_encoding && decoded.is_event_stream;
-  return true;
 }
 
-auto proxy_session::OnForeignAnswer(const server_answer& answer) -> void {
+auto proxy_session::OnForeignHead(const http_head& head) -> void {
+  RecordBytes();
+  const auto answer = platform::DecodeServerAnswer(head);
+  RecordLeaving(answer);
   context_.counters.Count("ebony_foreign_answers_total");
   context_.log.Write(
       event_category::request, "answer_skipped",
--- a/main/raft_node.cc
+++ b/main/raft_node.cc
@@ -249,11 +249,10 @@
   const auto address = GetLinkAddress(to);
   const auto body = std::make_shared<std::string>();
   auto hooks = call_hooks();
-  hooks.on_head = [](const http_head&) { return true; };
   hooks.on_body = [body](std::string_view bytes) { body->append(bytes); };
   hooks.on_complete = [this, to, body] { OnPeerAnswer(to, *body); };
   hooks.on_failed = [this, to](call_failure) { OnPeerFailed(to); };
-  auto options = call_options();
+  auto options = MakeLinkOptions();
   options.connect_timeout = kPeerTimeout;
   options.max_idle_time = kPeerIdleTimeout;
   options.max_body_bytes = kMaxLinkBodyBytes;
@@ -350,7 +349,6 @@
   call.set_node(self_.get());
   const auto body = std::make_shared<std::string>();
   auto hooks = call_hooks();
-  hooks.on_head = [](const http_head&) { return true; };
   hooks.on_body = [body](std::string_view bytes) { body->append(bytes); };
   hooks.on_complete = [this, body] {
     auto answer = schema::join_answer();
@@ -362,7 +360,7 @@
       next_join_link_ = 0;
     }
   };
-  auto options = call_options();
+  auto options = MakeLinkOptions();
   options.connect_timeout = kPeerTimeout;
   pool_.Start(address, RenderPost(kJoinPath, address, call.SerializeAsString()),
               false, options, std::move(hooks));
--- a/tests/coordinator_harness.cc
+++ b/tests/coordinator_harness.cc
@@ -1,4 +1,5 @@
 #include "tests/coordinator_harness.h"
+#include "platform/request_codec.h"
 
 #include <unistd.h>
 
@@ -74,7 +75,8 @@
 
 }  // namespace
 
-coordinator_harness::coordinator_harness() : pool_(loop_) {
+coordinator_harness::coordinator_harness()
+    : pool_(loop_, &platform::DecodeAnsweredId) {
   auto name = std::string("/tmp/ebony-coordinator-XXXXXX");
   folder_ = ::mkdtemp(name.data());
   const auto port =
@@ -162,7 +164,7 @@
   };
   hooks.on_complete = [response] { response->is_complete = true; };
   hooks.on_failed = [](call_failure) {};
-  pool_.Start(to, bytes, false, call_options(), std::move(hooks));
+  pool_.Start(to, bytes, false, MakeLinkOptions(), std::move(hooks));
   return response;
 }
 
--- a/tests/full_disks_test.cc
+++ b/tests/full_disks_test.cc
@@ -6,6 +6,7 @@
 #include <random>
 
 #include "main/coordinator_daemon.h"
+#include "platform/request_codec.h"
 
 namespace ebony::testing {
 
@@ -36,7 +37,7 @@
   event_loop loop_;
   event_log log_{"test", 0};
   metrics counters_;
-  http_pool pool_{loop_};
+  http_pool pool_{loop_, &platform::DecodeAnsweredId};
   std::mt19937_64 random_{1};
   std::string folder_;
   std::vector<std::unique_ptr<member>> members_;
@@ -140,7 +141,7 @@
           to,
           "PUT /api/config HTTP/1.1\r\nHost: h\r\nContent-Length: " +
               std::to_string(body.size()) + "\r\n\r\n" + body,
-          false, call_options(), std::move(hooks));
+          false, MakeLinkOptions(), std::move(hooks));
       const auto wait_until =
           std::min(until, loop_.get_now() + milliseconds(1000));
       loop_.Run([&] { return *is_done || loop_.get_now() > wait_until; });
--- a/tests/gateway_link_test.cc
+++ b/tests/gateway_link_test.cc
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "drivers/http_listener.h"
+#include "platform/request_codec.h"
 
 namespace ebony::testing {
 
@@ -22,7 +23,7 @@
   event_loop loop_;
   event_log log_{"test", 0};
   metrics counters_;
-  http_pool pool_{loop_};
+  http_pool pool_{loop_, &platform::DecodeAnsweredId};
   site_settings settings_;
   std::vector<response_pointer> unanswered_;
   std::unique_ptr<http_listener> leader_;
--- a/tests/http_pool_test.cc
+++ b/tests/http_pool_test.cc
@@ -3,6 +3,8 @@
 #include <boost/test/unit_test.hpp>
 #include <optional>
 
+#include "platform/request_codec.h"
+
 namespace ebony::testing {
 
 namespace {
@@ -54,13 +56,13 @@
 // being made, and has lost the leadership when the connection is ready.
 BOOST_AUTO_TEST_CASE(a_call_that_may_no_longer_be_sent_sends_no_byte) {
   auto loop = event_loop();
-  auto pool = http_pool(loop);
+  auto pool = http_pool(loop, &platform::DecodeAnsweredId);
   auto peer = byte_counter(loop);
   auto may_send = true;
   auto failure = std::optional<call_failure>();
   auto hooks = call_hooks();
   hooks.on_failed = [&failure](call_failure reason) { failure = reason; };
-  auto options = call_options();
+  auto options = MakeLinkOptions();
   options.may_send = [&may_send] { return may_send; };
   const auto call = pool.Start(peer.GetAddress(),
                                RenderPost("/order", peer.GetAddress(), "{}"),
@@ -80,7 +82,7 @@
       std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
   for (const auto left : {1U, 2U, 3U, 10U, 21U, 30U}) {
     auto loop = event_loop();
-    auto pool = http_pool(loop);
+    auto pool = http_pool(loop, &platform::DecodeAnsweredId);
     auto peer = byte_counter(loop);
     peer.answer = whole.substr(0, whole.size() - left);
     auto failure = std::optional<call_failure>();
@@ -90,7 +92,7 @@
     hooks.on_complete = [&is_complete] { is_complete = true; };
     const auto call =
         pool.Start(peer.GetAddress(), RenderPost("/", peer.GetAddress(), "{}"),
-                   false, call_options(), std::move(hooks));
+                   false, MakeLinkOptions(), std::move(hooks));
     loop.Run([&] { return failure.has_value() || is_complete; });
     BOOST_TEST(!is_complete, peer.answer);
     BOOST_TEST((failure == call_failure::interrupted), peer.answer);
@@ -102,7 +104,7 @@
   for (const auto is_used : {false, true}) {
     for (const auto body_bytes : {std::size_t{2}, std::size_t{4000000}}) {
       auto loop = event_loop();
-      auto pool = http_pool(loop);
+      auto pool = http_pool(loop, &platform::DecodeAnsweredId);
       auto peer = byte_counter(loop);
       peer.answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
       peer.keeps_open = true;
@@ -116,9 +118,9 @@
           failure = reason;
           is_over = true;
         };
-        static_cast<void>(pool.Start(peer.GetAddress(),
-                                     RenderPost("/", peer.GetAddress(), body),
-                                     false, call_options(), std::move(hooks)));
+        static_cast<void>(pool.Start(
+            peer.GetAddress(), RenderPost("/", peer.GetAddress(), body), false,
+            MakeLinkOptions(), std::move(hooks)));
         loop.Run([&is_over] { return is_over; });
       };
       if (is_used) {
@@ -136,7 +138,7 @@
 // counted as running at their server for good.
 BOOST_AUTO_TEST_CASE(a_call_on_a_broken_connection_fails_after_its_start) {
   auto loop = event_loop();
-  auto pool = http_pool(loop);
+  auto pool = http_pool(loop, &platform::DecodeAnsweredId);
   auto peer = byte_counter(loop);
   peer.answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
   peer.keeps_open = true;
@@ -145,7 +147,7 @@
   auto first = call_hooks();
   first.on_complete = [&is_complete] { is_complete = true; };
   static_cast<void>(pool.Start(peer.GetAddress(), request, false,
-                               call_options(), std::move(first)));
+                               MakeLinkOptions(), std::move(first)));
   loop.Run([&is_complete] { return is_complete; });
   peer.sockets.back()->Reset();
   auto is_started = false;
@@ -157,7 +159,7 @@
     has_failed_inside = !is_started;
   };
   const auto call = pool.Start(peer.GetAddress(), request, false,
-                               call_options(), std::move(second));
+                               MakeLinkOptions(), std::move(second));
   is_started = true;
   loop.Run([&failure] { return failure.has_value(); });
   BOOST_TEST(!has_failed_inside);
@@ -169,7 +171,7 @@
 // which the address sanitizer reports.
 BOOST_AUTO_TEST_CASE(a_connection_that_was_idle_for_too_long_is_replaced) {
   auto loop = event_loop();
-  auto pool = http_pool(loop);
+  auto pool = http_pool(loop, &platform::DecodeAnsweredId);
   auto peer = byte_counter(loop);
   peer.answer =
       "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\n"
@@ -181,7 +183,7 @@
     hooks.on_complete = [&is_complete] { is_complete = true; };
     static_cast<void>(pool.Start(peer.GetAddress(),
                                  RenderPost("/", peer.GetAddress(), "{}"),
-                                 false, call_options(), std::move(hooks)));
+                                 false, MakeLinkOptions(), std::move(hooks)));
     loop.Run([&is_complete] { return is_complete; });
     auto is_later = false;
     loop.AddTimerIn(std::chrono::milliseconds(5),
@@ -202,7 +204,7 @@
               RenderChunk({}),
           ok + "\r\n" + body}) {
       auto loop = event_loop();
-      auto pool = http_pool(loop);
+      auto pool = http_pool(loop, &platform::DecodeAnsweredId);
       auto peer = byte_counter(loop);
       peer.answer = answer;
       auto failure = std::optional<call_failure>();
@@ -210,7 +212,7 @@
       auto hooks = call_hooks();
       hooks.on_failed = [&failure](call_failure reason) { failure = reason; };
       hooks.on_complete = [&is_complete] { is_complete = true; };
-      auto options = call_options();
+      auto options = MakeLinkOptions();
       options.max_body_bytes = kLimit;
       static_cast<void>(pool.Start(peer.GetAddress(),
                                    RenderPost("/", peer.GetAddress(), "{}"),
--- a/tests/order_calls_test.cc
+++ b/tests/order_calls_test.cc
@@ -9,6 +9,7 @@
 #include "drivers/event_log.h"
 #include "drivers/http_pool.h"
 #include "main/order_executor.h"
+#include "platform/request_codec.h"
 
 namespace ebony::testing {
 
@@ -76,7 +77,7 @@
   auto loop = event_loop();
   auto log = event_log("test", 0);
   auto counters = metrics();
-  auto pool = http_pool(loop);
+  auto pool = http_pool(loop, &platform::DecodeAnsweredId);
   auto registry = backend_registry(backend_registry_options());
   auto server = repeating_server(loop);
   const auto settings = site_settings();
--- a/tests/soak/soak_site.cc
+++ b/tests/soak/soak_site.cc
@@ -333,7 +333,7 @@
   pool_.Start(
       to,
       MakeCall("PUT", "/api/instances/i-" + std::to_string(server), {}, body),
-      false, call_options(),
+      false, MakeLinkOptions(),
       CollectAnswer([this, server](const http_head& head, const std::string&) {
         announce_targets_[server] += head.status == 200 ? 0 : 1;
       }));
@@ -376,12 +376,12 @@
       kind == "idempotent" ? "GET" : "POST", "/" + kind + "/x",
       "Ebonythread-Request-Id: " + id + "\r\nEbonythread-Deadline-Ms: 1500\r\n",
       kind == "idempotent" ? "" : "payload");
-  const auto call = std::shared_ptr<pooled_call>(
-      pool_.Start(GetAddress(gateway, kCallers), bytes, false, call_options(),
-                  CollectAnswer([this, id, kind](const http_head& head,
-                                                 const std::string& body) {
-                    OnAnswer(id, kind == "streaming", head, body);
-                  })));
+  const auto call = std::shared_ptr<pooled_call>(pool_.Start(
+      GetAddress(gateway, kCallers), bytes, false, MakeLinkOptions(),
+      CollectAnswer(
+          [this, id, kind](const http_head& head, const std::string& body) {
+            OnAnswer(id, kind == "streaming", head, body);
+          })));
   if (PickRandom(20) == 0) {  // some callers disconnect before the answer
     loop_.AddTimerIn(milliseconds(PickRandom(30)), [call] { call->Cancel(); });
   }
@@ -399,7 +399,7 @@
         }
       });
   pool_.Start(to, MakeCall("PUT", "/api/config", {}, MakeConfig(number)), false,
-              call_options(), std::move(hooks));
+              MakeLinkOptions(), std::move(hooks));
 }
 
 auto soak_site::ReadConfig(host_port to, std::uint64_t min_version, int hops)
@@ -421,8 +421,8 @@
                       std::to_string(min_version) + " was acknowledged");
     }
   });
-  pool_.Start(to, MakeCall("GET", "/api/config", {}, {}), false, call_options(),
-              std::move(hooks));
+  pool_.Start(to, MakeCall("GET", "/api/config", {}, {}), false,
+              MakeLinkOptions(), std::move(hooks));
 }
 
 auto soak_site::Start() -> void {
@@ -489,7 +489,7 @@
                               std::function<void(http_head, std::string)> done)
     -> void {
   const auto& process = processes_.at(kCoordinators + gateway);
-  pool_.Start(GetAddress(process, kCallers), bytes, false, call_options(),
+  pool_.Start(GetAddress(process, kCallers), bytes, false, MakeLinkOptions(),
               CollectAnswer(std::move(done)));
 }
 
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -14,6 +14,7 @@
 #include "drivers/event_loop.h"
 #include "drivers/http_listener.h"
 #include "drivers/http_pool.h"
+#include "platform/request_codec.h"
 
 namespace ebony::testing {
 
@@ -58,7 +59,7 @@
 // an acknowledged configuration is neither lost nor followed by an older read.
 class soak_site {
   event_loop loop_;
-  http_pool pool_{loop_};
+  http_pool pool_{loop_, &platform::DecodeAnsweredId};
   std::mt19937_64 random_;
   std::string folder_;
   std::string program_dir_;
