Tests: where a copy may come, and calls without id at the pool

More rows of the walk over answers and calls: a copy after another request's answer in one read with it, an answer inside another one's chunks (502), and calls without an id, whose connections are used once and closed.

--- a/tests/answer_matching_test.cc
+++ b/tests/answer_matching_test.cc
@@ -120,11 +120,11 @@
 }
 
 // A copy in one read with its original, in a later one while the connection is
-// idle, and before the answer to another request.
+// idle, and before or after the answer to another request.
 BOOST_AUTO_TEST_CASE(a_copy_is_told_wherever_it_comes) {
   const auto copy = MakeRefusal(503, "Ebonythread-Request-Id: a\r\n");
   for (const auto* route : kRoutes) {
-    for (const auto* place : {"with", "idle", "before"}) {
+    for (const auto* place : {"with", "idle", "before", "after"}) {
       BOOST_TEST_CONTEXT(route << " " << place) {
         const auto is_with = std::string("with") == place;
         auto site = gateway_harness(1);
@@ -136,6 +136,10 @@
           site.servers[0]->SendMore(copy);
           site.RunFor(milliseconds(10));
         }
+        if (std::string("after") == place) {
+          site.AddCommonScript(
+              {{MakeResponse(200, "whole") + copy}, ending::keep});
+        }
         if (std::string("before") == place) {
           site.AddCommonScript(
               {{copy + MakeResponse(200, "whole")}, ending::keep});
@@ -144,14 +148,36 @@
         site.RunUntil([&] { return IsOver(second); });
         BOOST_TEST(second->status == 200);
         BOOST_TEST(second->body == "whole");
-        BOOST_TEST(site.servers[0]->get_received().size() == 2U);
+        const auto third = site.Send(MakeRequest(route, "c"));
+        site.RunUntil([&] { return IsOver(third); });
+        BOOST_TEST(third->status == 200);
+        BOOST_TEST(third->body == "whole");
+        BOOST_TEST(site.servers[0]->get_received().size() == 3U);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_with_another_one_inside_is_no_success) {
+  const auto copy = MakeRefusal(503, "Ebonythread-Request-Id: a\r\n");
+  for (const auto* route : kRoutes) {
+    for (const auto* type : {"text/plain", "text/event-stream"}) {
+      BOOST_TEST_CONTEXT(route << " " << type) {
+        auto site = gateway_harness(1);
+        site.AddCommonScript(
+            {{"HTTP/1.1 200 X\r\n" + kIdField +
+                  "Ebonythread-Response-Seal: s\r\nContent-Type: " + type +
+                  "\r\nTransfer-Encoding: chunked\r\n\r\n",
+              copy, RenderChunk("id: 1\ndata: a\n\n") + RenderChunk({})},
+             ending::keep});
+        const auto answer = site.Send(MakeRequest(route, "a"));
+        site.RunUntil([&] { return IsOver(answer); });
+        BOOST_TEST(answer->status == 502);
       }
     }
   }
 }
 
-// A server's copy of another answer reaches neither the caller nor the decision
-// what became of the attempt.
 BOOST_AUTO_TEST_CASE(a_connection_is_used_again_for_other_requests) {
   auto site = gateway_harness(1);
   for (auto i = 0; i < 20; ++i) {
--- a/tests/http_pool_test.cc
+++ b/tests/http_pool_test.cc
@@ -1,5 +1,6 @@
 #include "drivers/http_pool.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <optional>
 
@@ -193,6 +194,35 @@
   }
 }
 
+// Nothing would tell its answer from one that comes late for an earlier call.
+BOOST_AUTO_TEST_CASE(calls_without_id_have_connections_of_their_own) {
+  for (const auto is_link : {false, true}) {
+    auto loop = event_loop();
+    auto pool = http_pool(loop, &platform::DecodeAnsweredId);
+    auto peer = byte_counter(loop);
+    peer.answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    peer.keeps_open = true;
+    for (auto i = 0; i < 3; ++i) {
+      auto is_complete = false;
+      auto hooks = call_hooks();
+      hooks.on_complete = [&is_complete] { is_complete = true; };
+      static_cast<void>(pool.Start(
+          peer.GetAddress(), RenderPost("/", peer.GetAddress(), "{}"), false,
+          is_link ? MakeLinkOptions() : call_options(), std::move(hooks)));
+      loop.Run([&is_complete] { return is_complete; });
+    }
+    BOOST_TEST(pool.get_opened_connections() == (is_link ? 1U : 3U));
+    auto is_later = false;
+    loop.AddTimerIn(std::chrono::milliseconds(20),
+                    [&is_later] { is_later = true; });
+    loop.Run([&is_later] { return is_later; });
+    const auto open =
+        std::count_if(peer.sockets.begin(), peer.sockets.end(),
+                      [](const auto& socket) { return socket->is_open(); });
+    BOOST_TEST(open == (is_link ? 1 : 0));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_body_over_the_limit_of_its_call_is_malformed) {
   constexpr auto kLimit = std::size_t{1000};
   const auto ok = std::string("HTTP/1.1 200 OK\r\n");
