Only a refusal may say that a request has not run

Callers would see: a request that may run once, sent to a second server although the first one answered it (200, 404, 409, 500, 502 or 504 with the field); of a stream, two runs joined. Cause: the field was believed whatever the status. The users' page lists 503, 429, 421 and 400 as the answers that state it.

--- a/tests/faulty_answer_test.cc
+++ b/tests/faulty_answer_test.cc
@@ -106,6 +106,28 @@
   }
 }
 
+// Only a refusal may say that the request has not run.
+BOOST_AUTO_TEST_CASE(an_answer_that_is_no_refusal_is_not_taken_for_one) {
+  for (const auto* route : {"once", "stream"}) {
+    for (const auto status : {200, 404, 409, 500, 502, 504}) {
+      BOOST_TEST_CONTEXT(route << " " << status) {
+        auto site = gateway_harness(2);
+        site.AddCommonScript(
+            {{"HTTP/1.1 " + std::to_string(status) + " X\r\n" + kIdField +
+              "Ebonythread-Not-Run: 1\r\nEbonythread-Response-Seal: s\r\n"
+              "Content-Type: text/plain\r\nContent-Length: 4\r\n\r\nbody"},
+             ending::keep});
+        const auto answer = site.Send(MakeRequest(route, "id-1"));
+        site.RunUntil([&] { return IsOver(answer); });
+        BOOST_TEST(answer->status == status);
+        BOOST_TEST(site.servers[0]->get_received().size() +
+                       site.servers[1]->get_received().size() ==
+                   1U);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(no_error_gets_into_a_stream_that_has_begun) {
   for (const auto resets : {false, true}) {
     for (const auto& error : MakeErrors()) {
