--- a/tests/entry_answer_test.cc
+++ b/tests/entry_answer_test.cc
@@ -230,6 +230,23 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_to_an_earlier_attempt_is_not_delivered) {
+  auto test = session_under_test("key");
+  test.session->StartAttempt(attempt_number(1));
+  test.session->StartAttempt(attempt_number(2));
+  test.session->OnHead(attempt_number(2), 200, kJson);
+  test.session->OnHead(attempt_number(1), 503, kJson);
+  test.session->OnData(attempt_number(1), "old", mono_time());
+  const auto earlier =
+      test.session->OnEnd(attempt_number(1), transfer_result::completed);
+  BOOST_TEST((earlier.end != attempt_end::complete));
+  test.session->OnData(attempt_number(2), "new", mono_time());
+  const auto result =
+      test.session->OnEnd(attempt_number(2), transfer_result::completed);
+  BOOST_TEST(result.status == 200);
+  BOOST_TEST(result.outcome.body == "new");
+}
+
 BOOST_AUTO_TEST_CASE(a_resumed_stream_needs_its_last_event_too) {
   const auto resumed = header_map{{"content-type", "text/event-stream"},
                                   {"x-resumed-after", "1"}};
