Calls to backend servers have a connection each, which is not kept

Callers saw: with a backend server that sends one answer too many, a request through an entry got the answer to another request: another caller's body, or a refusal, after which it was sent to another server or reported as not run while it ran. Only requests that may run again (without a key): the others and all orders already left on a new connection. Found by test, not in the users' record. Cause: answers of the own interface have no id, and libcurl uses a kept connection again even when unread bytes lie on it. allow_resend = false asked for a new connection, but left it in the cache afterwards, also those of orders, which nobody used again. Change: connection_use is a property of http_call and replaces allow_resend. `own`, the default, is a new connection closed after the call: no earlier answer can arrive on it, and libcurl sends nothing twice.

--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -170,8 +170,9 @@
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, item.get());
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &transfer::OnData);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, item.get());
-  if (!request.allow_resend) {
+  if (request.connection == connection_use::own) {
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
   }
   if (request.method != "GET") {
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -38,6 +38,21 @@
 
 using transfer_id = strong_type<struct transfer_tag, std::uint64_t>;
 
+// Which connection a call uses. An answer does not say which request it is for;
+// only its place on the connection does.
+enum class connection_use {
+  // A new connection, closed after the call. No answer to an earlier call can
+  // arrive on it, and libcurl never sends the request twice. For peers that may
+  // answer a request twice, as backend servers may, and for requests that may
+  // run only once.
+  own,
+  // A connection kept from an earlier call if there is one, and kept after this
+  // one. Only for peers that answer each request once and in order, as
+  // http_server does. libcurl sends the request again when the kept connection
+  // turns out to be closed.
+  kept,
+};
+
 // A request to send.
 struct http_call {
   std::string method = "POST";
@@ -46,10 +61,7 @@
   std::string body;
   duration connect_timeout = std::chrono::milliseconds(1000);
   duration timeout = std::chrono::seconds(30);
-  // When false, the request is sent at most once. The call then opens a new
-  // connection, because libcurl sends a request again when a reused connection
-  // turns out to be closed.
-  bool allow_resend = true;
+  connection_use connection = connection_use::own;
   http_callbacks callbacks;
 };
 
--- a/fakes/fake_fleet.cc
+++ b/fakes/fake_fleet.cc
@@ -108,6 +108,7 @@
     call.headers.push_back("Authorization: Bearer " + options_.backend_key);
   }
   call.timeout = std::chrono::milliseconds(1000);
+  call.connection = connection_use::kept;
   const auto index = static_cast<std::size_t>(&hosted - engines_.data());
   call.callbacks.on_end = [this, index, entry](transfer_result end,
                                                const std::string&) {
--- a/main/control_daemon_leader.cc
+++ b/main/control_daemon_leader.cc
@@ -7,6 +7,7 @@
 #include "codec/record_codec.h"
 #include "consensus/voter_replacement.h"
 #include "drivers/logger.h"
+#include "main/backend_calls.h"
 #include "main/control_daemon.h"
 
 namespace ebony {
@@ -19,7 +20,6 @@
 constexpr auto kReadTimeout = milliseconds(2000);
 // A backend server that is suspected for this long is removed.
 constexpr auto kLostBackendRetention = std::chrono::hours(1);
-constexpr auto kOrderTimeout = milliseconds(2000);
 // Weight of the newest placement round in the smoothed demand.
 constexpr double kDemandWeight = 0.05;
 // Maximum difference of the rates of two clocks.
@@ -321,17 +321,7 @@
 auto control_daemon::SendOrders(mono_time now) -> void {
   for (const auto& send :
        leader_->orders.StartDueSends(state_.get_data(), now)) {
-    auto call = http_call();
-    call.url = "http://" + send.address.get() + "/v1/orders";
-    auto body = ToSchema(send.body);
-    body.set_backend_incarnation(send.run.get());
-    call.body = RenderJson(body);
-    call.headers = {"Content-Type: application/json"};
-    if (!order_key_.empty()) {
-      call.headers.push_back("Authorization: Bearer " + order_key_);
-    }
-    call.timeout = kOrderTimeout;
-    call.allow_resend = false;
+    auto call = MakeOrderCall(send, order_key_);
     const auto id = send.body.id;
     call.callbacks.on_end = [this, id](transfer_result end,
                                        const std::string&) {
--- a/main/entry_daemon.cc
+++ b/main/entry_daemon.cc
@@ -6,6 +6,7 @@
 
 #include "codec/record_codec.h"
 #include "drivers/logger.h"
+#include "main/backend_calls.h"
 #include "settings/settings_loader.h"
 
 namespace ebony {
@@ -17,8 +18,6 @@
 
 constexpr std::size_t kEventCapacity = 16384;   // events
 constexpr std::size_t kClientCapacity = 16384;  // commands
-// Time that a transfer may outlast the deadline of its request.
-constexpr auto kTransferGrace = milliseconds(5000);
 // Upper bound of the time that the core thread waits for an event.
 constexpr auto kCoreTickInterval = milliseconds(20);
 constexpr auto kCoordinatorTickInterval = milliseconds(20);
@@ -108,19 +107,6 @@
       std::chrono::duration_cast<std::chrono::microseconds>(now).count()));
 }
 
-// Returns the value of the Priority header of RFC 9218.
-auto GetUrgency(priority_class priority) -> std::string {
-  switch (priority) {
-    case priority_class::urgent:
-      return "u=0";
-    case priority_class::interactive:
-      return "u=3";
-    case priority_class::batch:
-      break;
-  }
-  return "u=6";
-}
-
 // Throws settings_error with all errors.
 auto CheckSettings(const schema::entry_settings& settings,
                    const std::vector<entry_peer>& peers) -> void {
@@ -529,33 +515,7 @@
   const auto attempt = action.attempt;
   const auto backend = action.backend;
   session->StartAttempt(attempt);
-  const auto& request = session->get_request();
-  const auto service = ParseServicePath(request.path);
-  auto call = http_call();
-  call.method = request.method;
-  call.url = "http://" + action.address.get() +
-             (service ? service->path : request.path);
-  call.body = request.body;
-  // The coordinator cancels an attempt at its deadline. This timeout ends a
-  // transfer that the coordinator no longer tracks.
-  call.timeout = action.time_left + kTransferGrace;
-  call.allow_resend = action.is_retryable;
-  const auto left =
-      std::chrono::duration_cast<milliseconds>(action.time_left).count();
-  call.headers = {"X-Request-Timeout-Ms: " + std::to_string(left),
-                  "Priority: " + GetUrgency(action.priority)};
-  if (!request.GetHeader("content-type").empty()) {
-    call.headers.push_back("Content-Type: " +
-                           request.GetHeader("content-type"));
-  }
-  if (!request.GetHeader("idempotency-key").empty()) {
-    call.headers.push_back("Idempotency-Key: " +
-                           request.GetHeader("idempotency-key"));
-  }
-  if (action.resume_after > 0) {
-    call.headers.push_back("Last-Event-ID: " +
-                           std::to_string(action.resume_after));
-  }
+  auto call = MakeAttemptCall(action, session->get_request());
   call.callbacks.on_head = [this, session, attempt, backend](
                                int status, const header_map& headers) {
     const auto limit = session->OnHead(attempt, status, headers);
--- a/tools/ebony_burn.cc
+++ b/tools/ebony_burn.cc
@@ -38,6 +38,7 @@
   call.method = "GET";
   call.url = url;
   call.timeout = std::chrono::seconds(2);
+  call.connection = connection_use::kept;
   if (!key.empty()) {
     call.headers = {"Authorization: Bearer " + key};
   }
--- a/tools/ebonyctl.cc
+++ b/tools/ebonyctl.cc
@@ -73,6 +73,7 @@
     call.url = "http://" + address + path;
     call.body = body;
     call.timeout = timeout;
+    call.connection = connection_use::kept;
     call.headers = {"Content-Type: application/json"};
     if (!change_id.empty()) {
       call.headers.push_back("Idempotency-Key: " + change_id);
--- a/tools/load_run.cc
+++ b/tools/load_run.cc
@@ -77,6 +77,10 @@
   client_.Start();
 }
 
+auto load_run::GetConnectionUse() const -> connection_use {
+  return settings_.direct() ? connection_use::own : connection_use::kept;
+}
+
 auto load_run::FetchDirectory() -> directory_answer {
   auto out = directory_answer();
   if (settings_.direct()) {
@@ -91,6 +95,7 @@
     call.method = "GET";
     call.url = "http://" + address + "/v1/entries";
     call.timeout = milliseconds(1000);
+    call.connection = connection_use::kept;
     const auto answer = CallAndWait(client_, std::move(call));
     const auto body = json::parse(answer.body, nullptr, false);
     if (answer.status != kStatusOk || !body.is_object()) {
@@ -124,6 +129,7 @@
     auto call = http_call();
     call.method = "GET";
     call.url = "http://" + PickEntry() + "/v1/models";
+    call.connection = GetConnectionUse();
     const auto answer = CallAndWait(client_, std::move(call));
     const auto body = json::parse(answer.body, nullptr, false);
     if (answer.status != kStatusOk || !body.is_object()) {
@@ -208,7 +214,8 @@
   out.url = "http://" + call->entry + call->path;
   out.body = call->body;
   out.timeout = call->limit + kNetworkAllowance + milliseconds(1000);
-  out.allow_resend = call->key.empty();
+  // A request with a key may run only once.
+  out.connection = call->key.empty() ? GetConnectionUse() : connection_use::own;
   const auto limit =
       std::chrono::duration_cast<milliseconds>(call->limit).count();
   out.headers = {"Content-Type: application/json",
@@ -339,6 +346,7 @@
   auto call = http_call();
   call.method = "GET";
   call.url = "http://" + settings_.judge() + "/report";
+  call.connection = connection_use::kept;
   const auto answer = CallAndWait(client_, std::move(call));
   const auto body = json::parse(answer.body, nullptr, false);
   if (answer.status != kStatusOk || !body.is_object()) {
--- a/tools/load_run.h
+++ b/tools/load_run.h
@@ -78,6 +78,8 @@
   load_report report_;
   std::uint64_t in_flight_ = 0;
 
+  // For calls to `entries`, which are backend servers in a direct run.
+  auto GetConnectionUse() const -> connection_use;
   auto LoadModels() -> void;
   auto FetchDirectory() -> directory_answer;
   auto ApplyDirectory(const directory_answer& answer, mono_time now) -> void;
