Nothing of a skipped answer is believed; orders and checks name their rule

Nothing in it is believed now. - Orders, reports and checks of reachability name what they rely on (MakeServerCallOptions); before, the default did, and no test held it for orders. - Tests: a copy under another id causes no second run. Orders and checks have connections of their own.

--- a/main/order_executor.cc
+++ b/main/order_executor.cc
@@ -50,6 +50,14 @@
   }
 }
 
+// Answers to these calls bear no id, so each call has a connection of its own.
+auto MakeServerCallOptions() -> call_options {
+  auto options = call_options();
+  options.id = call_id();
+  options.matching = answer_matching::by_id;
+  return options;
+}
+
 }  // namespace
 
 order_executor::order_executor(
@@ -164,7 +172,7 @@
                  {{"backend", id.get()}});
     }
   };
-  auto options = call_options();
+  auto options = MakeServerCallOptions();
   options.max_body_bytes = kMaxReportBytes;
   metrics_.Count("ebony_report_calls_total");
   state.call = pool_.Start(status.address, platform::RenderReportCall(status),
@@ -195,7 +203,7 @@
       OnUnreachable(id);
     }
   };
-  auto options = call_options();
+  auto options = MakeServerCallOptions();
   options.connect_timeout = kReachabilityTimeout;
   metrics_.Count("ebony_report_calls_total");
   state.check = pool_.Start(record->status.address,
@@ -246,7 +254,7 @@
   hooks.on_failed = [this, id, order](call_failure) {
     OnOrderUnanswered(id, order);
   };
-  auto options = call_options();
+  auto options = MakeServerCallOptions();
   options.may_send = is_confirmed_leader_;
   metrics_.Count(order.is_load ? "ebony_orders_total{op=\"load\"}"
                                : "ebony_orders_total{op=\"unload\"}");
--- a/main/proxy_session.cc
+++ b/main/proxy_session.cc
@@ -249,6 +249,7 @@
   options.connect_timeout = kConnectTimeout;
   options.max_body_bytes = kMaxAnswerBytes;
   options.id = call_id(metadata_.id.get());
+  // The id also tells a peer's answer from that to another request.
   options.matching =
       IsDirect() ? answer_matching::by_id : answer_matching::by_order;
   options.max_idle_time = rule_.retry == retry_policy::idempotent
--- a/main/proxy_session.h
+++ b/main/proxy_session.h
@@ -243,7 +243,7 @@
   // Returns what became of the latest attempt's connection, for log lines.
   auto GetConnectionText() const -> std::string_view;
   auto OnHead(const http_head& head) -> void;
-  // An answer to another request has arrived; it is skipped.
+  // An answer to another request has arrived. Nothing in it is believed.
   auto OnForeignHead(const http_head& head) -> void;
   auto RecordBytes() -> void;
   // Records whether the server says that it is about to stop.
--- a/main/proxy_session_answer.cc
+++ b/main/proxy_session_answer.cc
@@ -62,7 +62,6 @@
 auto proxy_session::OnForeignHead(const http_head& head) -> void {
   RecordBytes();
   const auto answer = platform::DecodeServerAnswer(head);
-  RecordLeaving(answer);
   context_.counters.Count("ebony_foreign_answers_total");
   context_.log.Write(
       event_category::request, "answer_skipped",
--- a/tests/answer_matching_test.cc
+++ b/tests/answer_matching_test.cc
@@ -69,6 +69,30 @@
   }
 }
 
+// The other server is full at first, which keeps the request queued, and has
+// room when the copy comes.
+BOOST_AUTO_TEST_CASE(a_refusal_repeated_under_another_id_causes_no_second_run) {
+  for (auto i = 0; i < 5; ++i) {
+    auto site = gateway_harness(2);
+    site.SetEngine(0, {"m"}, 12);
+    site.SetEngine(1, {"m"}, 12);
+    site.servers[0]->AddScript(MakeRepeated(
+        MakeRefusal(421, kIdField + "Ebonythread-Instance-Id: i-9\r\n")));
+    site.servers[1]->AddScript({{MakeRefusal(503, kIdField)}, ending::keep});
+    const auto answer = site.Send(
+        MakeRequest("model", "a", "Ebonythread-Model: m\r\n", "prompt"));
+    site.RunUntil([&] { return !site.servers[0]->get_received().empty(); });
+    site.ReplaceServer(0, "i-9");
+    site.RunUntil([&] { return IsOver(answer); });
+    site.RunFor(milliseconds(50));
+    BOOST_TEST(answer->status == 200);
+    // Refused by each of them once, and run once.
+    BOOST_TEST(site.servers[0]->get_received().size() +
+                   site.servers[1]->get_received().size() <=
+               3U);
+  }
+}
+
 // A caller that uses an id again must not be told that its request did not run.
 BOOST_AUTO_TEST_CASE(a_refusal_repeated_to_a_second_request_is_not_believed) {
   for (const auto* route : kRoutes) {
--- a/tests/http_pool_test.cc
+++ b/tests/http_pool_test.cc
@@ -126,11 +126,13 @@
       };
       if (is_used) {
         start("{}");
+        BOOST_TEST(!failure.has_value());
       }
       peer.resets_after = peer.received + 1;
       start(std::string(body_bytes, 'x'));
       BOOST_TEST(failure.has_value());
       BOOST_TEST((failure == call_failure::interrupted));
+      BOOST_TEST(peer.sockets.size() == 1U);
     }
   }
 }
--- a/tests/order_calls_test.cc
+++ b/tests/order_calls_test.cc
@@ -33,6 +33,7 @@
 struct repeating_server {
   event_loop& loop;
   int calls = 0;
+  int orders = 0;
   std::vector<std::shared_ptr<stream_socket>> sockets;
   stream_acceptor acceptor;
 
@@ -47,7 +48,8 @@
     const auto socket = sockets.back();
     const auto repeated = std::make_shared<std::string>();
     auto hooks = stream_socket::hooks();
-    hooks.on_bytes = [this, socket, repeated](std::string_view) {
+    hooks.on_bytes = [this, socket, repeated](std::string_view bytes) {
+      orders += bytes.starts_with("POST") ? 1 : 0;
       const auto answer = MakeReport(calls++ == 0, "m");
       socket->Send(*repeated + answer);
       *repeated = calls == 1 ? answer : "";
@@ -109,6 +111,52 @@
   BOOST_TEST(server.sockets.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(orders_and_checks_have_connections_of_their_own) {
+  auto loop = event_loop();
+  auto log = event_log("test", 0);
+  auto counters = metrics();
+  auto pool = http_pool(loop, &platform::DecodeAnsweredId);
+  auto registry = backend_registry(backend_registry_options());
+  auto server = repeating_server(loop);
+  const auto settings = site_settings();
+  auto orders = order_executor(
+      settings, loop, pool, log, counters, registry, [] { return true; },
+      [](const backend_name&) { return 0.0; }, [] {});
+  auto config = MakeConfig();
+  auto& engine = *config.services[service_name("e")].engine;
+  engine.model_memory_mb = 100;
+  engine.loads_per_second = 10;
+  auto model = catalogue_model();
+  model.name = model_name("n");
+  model.weights_mb = 10;
+  engine.models = {model, model};
+  engine.models.back().name = model_name("m");
+  engine.adapter_slots = 2;
+  orders.StartLeading(1);
+  auto is_later = false;
+  loop.AddTimerIn(milliseconds(250), [&is_later] { is_later = true; });
+  loop.Run([&is_later] { return is_later; });
+  auto status = backend_status();
+  status.id = backend_name("i-0");
+  status.service = service_name("e");
+  status.address = server.GetAddress();
+  status.sequence = 1;
+  registry.Announce(status, loop.get_now());
+  auto demand = schema::demand_row();
+  demand.set_model("n");
+  demand.set_arrived(5);
+  demand.set_refused(5);
+  const auto end = loop.get_now() + std::chrono::seconds(4);
+  RepeatEvery(loop, milliseconds(20), [&] {
+    orders.RecordDemand(demand);
+    orders.VerifyReachable(status.id);
+    orders.Tick(config);
+  });
+  loop.Run([&] { return server.orders >= 2 || loop.get_now() > end; });
+  BOOST_TEST(server.orders >= 2);
+  BOOST_TEST(static_cast<int>(server.sockets.size()) >= server.calls);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
