--- a/tests/soak/brittle_scene.cc
+++ b/tests/soak/brittle_scene.cc
@@ -206,17 +206,7 @@
   });
   site_.Start();
   auto& loop = site_.get_loop();
-  const auto setup_end = loop.RefreshNow() + seconds(15);
-  RepeatEvery(loop, milliseconds(200), [this] {
-    if (site_.get_acknowledged() == 0) {
-      site_.PutNextConfig();
-    }
-  });
-  loop.Run([&] {
-    return site_.get_acknowledged() > 0 || loop.get_now() > setup_end;
-  });
-  const auto settled = loop.get_now() + seconds(2);
-  loop.Run([&] { return loop.get_now() >= settled; });
+  site_.AwaitConfig();
   start_ = loop.get_now();
   if (options_.has_faults) {
     InjectFaults();
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -2,10 +2,13 @@
 // random faults, and checks the guarantees to callers and operators.
 //   ebony_site_soak PROGRAM_DIR SEED SECONDS [calm | from=EARLIER_DIR]
 //   ebony_site_soak PROGRAM_DIR SEED brittle [alike] [faults] [light]
+//   ebony_site_soak PROGRAM_DIR SEED copies [moved] [again]
 // With "calm", no faults are injected. With "from", the processes run an
 // earlier build until a fault restarts them. With "brittle", the load is above
 // what the servers can run and those fall over if they have to reject many
-// requests.
+// requests. With "copies", engines write refusals a second time; with "moved",
+// they also appear under new ids, and with "again", callers send a rejected
+// request again under its id.
 
 #include <signal.h>
 
@@ -15,6 +18,7 @@
 #include <string>
 
 #include "tests/soak/brittle_scene.h"
+#include "tests/soak/repeated_refusals_scene.h"
 #include "tests/soak/soak_site.h"
 
 namespace {
@@ -36,7 +40,9 @@
   if (argc < 4) {
     std::cerr << "usage: ebony_site_soak PROGRAM_DIR SEED SECONDS [calm]\n"
                  "       ebony_site_soak PROGRAM_DIR SEED brittle [alike] "
-                 "[faults]\n";
+                 "[faults]\n"
+                 "       ebony_site_soak PROGRAM_DIR SEED copies [moved] "
+                 "[again]\n";
     return kExitUsage;
   }
   ::signal(SIGPIPE, SIG_IGN);
@@ -50,6 +56,12 @@
     scene.Run();
     return Report(scene, argv[2]);
   }
+  if (words.contains("copies")) {
+    return Report(
+        ebony::testing::PlayRepeatedRefusals(
+            argv[1], seed, {words.contains("moved"), words.contains("again")}),
+        argv[2]);
+  }
   const auto last = std::string(argv[argc - 1]);
   const auto prefix = std::string("from=");
   auto options = ebony::testing::soak_site_options();
--- a/tests/soak/soak_site.cc
+++ b/tests/soak/soak_site.cc
@@ -85,6 +85,17 @@
   }
 }
 
+auto MakeEngine(int slots) -> nlohmann::json {
+  auto models = nlohmann::json::array();
+  for (const auto* name : {"m0", "m1", "m2", "m3"}) {
+    models.push_back({{"name", name}, {"weightsMb", 10}, {"loadS", 0.3}});
+  }
+  return {{"slots", slots},
+          {"weightsMb", 100},
+          {"loadsPerS", 1},
+          {"models", models}};
+}
+
 auto GetRedirect(const http_head& head) -> host_port {
   const auto* location = head.Find("Location");
   const auto prefix = std::string("http://");
@@ -269,9 +280,22 @@
                       {"gapAimMs", 250},
                       {"service", "s"}});
   }
-  return nlohmann::json({{"version", number},
-                         {"routes", routes},
-                         {"services", {{{"name", "s"}}}}})
+  auto services = nlohmann::json::array({{{"name", "s"}}});
+  if (options_.has_engines) {
+    routes.push_back({{"name", "model"},
+                      {"host", "h"},
+                      {"pathPrefix", "/model/"},
+                      {"kind", "streaming"},
+                      {"timeoutMs", 4000},
+                      {"targetLatencyMs", options_.target_latency_ms},
+                      {"priority", 1},
+                      {"maxAttempts", 1},
+                      {"gapAimMs", 250},
+                      {"service", "e"}});
+    services.push_back({{"name", "e"}, {"engine", MakeEngine(options_.slots)}});
+  }
+  return nlohmann::json(
+             {{"version", number}, {"routes", routes}, {"services", services}})
       .dump();
 }
 
@@ -318,16 +342,14 @@
   if (servers_[server] == nullptr) {
     return;
   }
-  const auto ip = "127.0.3." + std::to_string(server + 1);
-  const auto body =
-      nlohmann::json({{"service", "s"},
-                      {"addr", ip + ":" + std::to_string(port_ + kServer)},
-                      {"zone", "z1"},
-                      {"slots", options_.slots},
-                      {"state", "ready"},
-                      {"born", start_times_ms_[server]},
-                      {"seq", ++sequences_[server]}})
-          .dump();
+  const auto body = nlohmann::json({{"service", "s"},
+                                    {"addr", GetServerAddress(server).get()},
+                                    {"zone", "z1"},
+                                    {"slots", options_.slots},
+                                    {"state", "ready"},
+                                    {"born", start_times_ms_[server]},
+                                    {"seq", ++sequences_[server]}})
+                        .dump();
   const auto to = GetAddress(
       processes_[announce_targets_[server] % kCoordinators], kOperator);
   pool_.Start(
@@ -459,16 +481,39 @@
   options.get_limits = [] { return connection_limits(); };
   options.is_closing = [] { return false; };
   servers_[server] = std::make_unique<http_listener>(
-      loop_,
-      host_port("127.0.3." + std::to_string(server + 1) + ":" +
-                std::to_string(port_ + kServer)),
-      options,
+      loop_, GetServerAddress(server), options,
       [this, server](const incoming_request& call,
                      const response_pointer& answer) {
         OnServerCall(server, call, answer);
       });
 }
 
+auto soak_site::GetServerAddress(std::size_t server) const -> host_port {
+  return host_port("127.0.3." + std::to_string(server + 1) + ":" +
+                   std::to_string(port_ + kServer));
+}
+
+auto soak_site::PutAnnouncement(std::size_t server,
+                                const std::string& id,
+                                const nlohmann::json& state) -> void {
+  pool_.Start(GetAddress(processes_[server % kCoordinators], kOperator),
+              MakeCall("PUT", "/api/instances/" + id, {}, state.dump()), false,
+              call_options(),
+              CollectAnswer([](const http_head&, const std::string&) {}));
+}
+
+auto soak_site::AwaitConfig() -> void {
+  const auto setup_end = loop_.RefreshNow() + std::chrono::seconds(15);
+  RepeatEvery(loop_, milliseconds(200), [this] {
+    if (acknowledged_ == 0) {
+      PutNextConfig();
+    }
+  });
+  loop_.Run([&] { return acknowledged_ > 0 || loop_.get_now() > setup_end; });
+  const auto settled = loop_.get_now() + std::chrono::seconds(2);
+  loop_.Run([&] { return loop_.get_now() >= settled; });
+}
+
 auto soak_site::StopServer(std::size_t server) -> void {
   // A call of the listener may be under way.
   const auto listener =
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <random>
 #include <set>
 #include <string>
@@ -37,6 +38,9 @@
   // Holds an earlier build, which processes run until they are restarted;
   // empty: all run the present one.
   std::string first_program_dir = {};
+  // There is a route of streams that may run once, for the models `m0` to `m3`
+  // of an engine service `e`, whose servers the scene plays.
+  bool has_engines = false;
 };
 
 // Answers a request at a simulated backend server instead of the site.
@@ -133,6 +137,15 @@
   auto SetServerHandler(soak_server_handler handler) -> void {
     server_handler_ = std::move(handler);
   }
+  // Returns the address at which a simulated backend server listens.
+  auto GetServerAddress(std::size_t server) const -> host_port;
+  // Announces a server that the scene plays, at one of the coordinators.
+  auto PutAnnouncement(std::size_t server,
+                       const std::string& id,
+                       const nlohmann::json& state) -> void;
+  // Waits until a configuration is acknowledged, and 2 s more, after which the
+  // gateways have it.
+  auto AwaitConfig() -> void;
   // The server closes all connections and its port.
   auto StopServer(std::size_t server) -> void;
   // The server starts again under its name.
