--- a/tests/soak/soak_site.cc
+++ b/tests/soak/soak_site.cc
@@ -498,7 +498,7 @@
                                 const nlohmann::json& state) -> void {
   pool_.Start(GetAddress(processes_[server % kCoordinators], kOperator),
               MakeCall("PUT", "/api/instances/" + id, {}, state.dump()), false,
-              call_options(),
+              MakeLinkOptions(),
               CollectAnswer([](const http_head&, const std::string&) {}));
 }
 
