--- a/tests/order_calls_test.cc
+++ b/tests/order_calls_test.cc
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -62,99 +63,95 @@
   }
 };
 
-auto MakeConfig() -> site_config {
-  auto config = site_config();
-  auto service = service_spec();
-  service.name = service_name("e");
-  service.engine = engine_spec();
-  config.services[service.name] = service;
-  return config;
-}
+// A leader that may order what one server of an engine service holds.
+struct ordering_leader {
+  event_loop loop;
+  event_log log{"test", 0};
+  metrics counters;
+  http_pool pool{loop, &platform::DecodeAnsweredId};
+  backend_registry registry{backend_registry_options()};
+  repeating_server server{loop};
+  site_settings settings;
+  site_config config;
+  backend_status status;
+  order_executor orders{settings,
+                        loop,
+                        pool,
+                        log,
+                        counters,
+                        registry,
+                        [] { return true; },
+                        [](const backend_name&) { return 0.0; },
+                        [] {}};
+
+  ordering_leader() {
+    auto service = service_spec();
+    service.name = service_name("e");
+    service.engine = engine_spec();
+    config.services[service.name] = service;
+    orders.StartLeading(1);
+    RunFor(milliseconds(250), [] { return false; });
+    status.id = backend_name("i-0");
+    status.service = service.name;
+    status.address = server.GetAddress();
+    status.sequence = 1;
+    registry.Announce(status, loop.get_now());
+  }
+
+  auto RunFor(duration time, const std::function<bool()>& done) -> void {
+    const auto end = loop.RefreshNow() + time;
+    loop.AddTimer(end, [] {});
+    loop.Run([&] { return done() || loop.get_now() >= end; });
+  }
+  auto KnowsModels() const -> bool {
+    auto known = status;
+    orders.ApplyKnownModels(known);
+    return !known.models.empty();
+  }
+};
 
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(order_calls)
 
 BOOST_AUTO_TEST_CASE(a_report_repeated_late_is_not_taken_for_the_next_one) {
-  auto loop = event_loop();
-  auto log = event_log("test", 0);
-  auto counters = metrics();
-  auto pool = http_pool(loop, &platform::DecodeAnsweredId);
-  auto registry = backend_registry(backend_registry_options());
-  auto server = repeating_server(loop);
-  const auto settings = site_settings();
-  auto orders = order_executor(
-      settings, loop, pool, log, counters, registry, [] { return true; },
-      [](const backend_name&) { return 0.0; }, [] {});
-  const auto config = MakeConfig();
-  orders.StartLeading(1);
-  auto is_later = false;
-  loop.AddTimerIn(milliseconds(250), [&is_later] { is_later = true; });
-  loop.Run([&is_later] { return is_later; });
-  auto status = backend_status();
-  status.id = backend_name("i-0");
-  status.service = service_name("e");
-  status.address = server.GetAddress();
-  status.sequence = 1;
-  registry.Announce(status, loop.get_now());
-  const auto knows_models = [&] {
-    auto known = status;
-    orders.ApplyKnownModels(known);
-    return !known.models.empty();
-  };
-  const auto end = loop.get_now() + std::chrono::seconds(3);
-  RepeatEvery(loop, milliseconds(20), [&] { orders.Tick(config); });
-  loop.Run([&] { return knows_models() || loop.get_now() > end; });
-  BOOST_TEST(knows_models());
+  auto leader = ordering_leader();
+  RepeatEvery(leader.loop, milliseconds(20),
+              [&leader] { leader.orders.Tick(leader.config); });
+  leader.RunFor(std::chrono::seconds(3),
+                [&leader] { return leader.KnowsModels(); });
+  BOOST_TEST(leader.KnowsModels());
   // The second answer is believed; the copy of the first says "busy" again.
-  BOOST_TEST(server.calls == 2);
-  BOOST_TEST(server.sockets.size() == 2U);
+  BOOST_TEST(leader.server.calls == 2);
+  BOOST_TEST(leader.server.sockets.size() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(orders_and_checks_have_connections_of_their_own) {
-  auto loop = event_loop();
-  auto log = event_log("test", 0);
-  auto counters = metrics();
-  auto pool = http_pool(loop, &platform::DecodeAnsweredId);
-  auto registry = backend_registry(backend_registry_options());
-  auto server = repeating_server(loop);
-  const auto settings = site_settings();
-  auto orders = order_executor(
-      settings, loop, pool, log, counters, registry, [] { return true; },
-      [](const backend_name&) { return 0.0; }, [] {});
-  auto config = MakeConfig();
-  auto& engine = *config.services[service_name("e")].engine;
+  auto leader = ordering_leader();
+  auto& engine = *leader.config.services[service_name("e")].engine;
   engine.model_memory_mb = 100;
-  engine.loads_per_second = 10;
-  auto model = catalogue_model();
-  model.name = model_name("n");
-  model.weights_mb = 10;
-  engine.models = {model, model};
-  engine.models.back().name = model_name("m");
   engine.adapter_slots = 2;
-  orders.StartLeading(1);
-  auto is_later = false;
-  loop.AddTimerIn(milliseconds(250), [&is_later] { is_later = true; });
-  loop.Run([&is_later] { return is_later; });
-  auto status = backend_status();
-  status.id = backend_name("i-0");
-  status.service = service_name("e");
-  status.address = server.GetAddress();
-  status.sequence = 1;
-  registry.Announce(status, loop.get_now());
+  engine.loads_per_second = 10;
+  for (const auto* name : {"m", "n"}) {
+    auto model = catalogue_model();
+    model.name = model_name(name);
+    model.weights_mb = 10;
+    engine.models.push_back(model);
+  }
   auto demand = schema::demand_row();
   demand.set_model("n");
   demand.set_arrived(5);
   demand.set_refused(5);
-  const auto end = loop.get_now() + std::chrono::seconds(4);
-  RepeatEvery(loop, milliseconds(20), [&] {
-    orders.RecordDemand(demand);
-    orders.VerifyReachable(status.id);
-    orders.Tick(config);
+  RepeatEvery(leader.loop, milliseconds(20), [&] {
+    leader.orders.RecordDemand(demand);
+    leader.orders.VerifyReachable(leader.status.id);
+    leader.orders.Tick(leader.config);
   });
-  loop.Run([&] { return server.orders >= 2 || loop.get_now() > end; });
-  BOOST_TEST(server.orders >= 2);
-  BOOST_TEST(static_cast<int>(server.sockets.size()) >= server.calls);
+  leader.RunFor(std::chrono::seconds(4),
+                [&leader] { return leader.server.orders >= 2; });
+  BOOST_TEST(leader.server.orders >= 2);
+  BOOST_TEST(static_cast<int>(leader.server.sockets.size()) >=
+             leader.server.calls);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
