--- a/drivers/http_pool.h
+++ b/drivers/http_pool.h
@@ -42,6 +42,8 @@
 
 struct call_options {
   duration connect_timeout = std::chrono::milliseconds(500);
+  // How the response is told from those to other calls. By default and without
+  // an id, the call has a connection of its own.
   call_id id;
   answer_matching matching = answer_matching::by_id;
   // A pooled connection that has been idle for longer is not used for this
