--- a/tests/run_all.sh
+++ b/tests/run_all.sh
@@ -49,7 +49,7 @@
   while read -r result name; do
     [ "$result" = PASS ]
     count "$name" $?
-  done < <(bash model/check.sh | tee /dev/stderr | grep -E '^(PASS|FAIL) ')
+  done < <(bash model/check.sh | tee >(cat >&2) | grep -E '^(PASS|FAIL) ')
 fi
 
 for script in tests/process/*.sh; do
