A test that nothing of a skipped answer is believed

Cause: stopped believing that a server leaves when a skipped answer says so, and had no test for it. Change: one test and its mutation. Measured: it fails with the former line put back (1 check: the next request finds no server) and passes without; the suite answer_matching passes.

--- a/tests/answer_matching_test.cc
+++ b/tests/answer_matching_test.cc
@@ -202,6 +202,23 @@
   }
 }
 
+// The server that the copy speaks of may be another one by then.
+BOOST_AUTO_TEST_CASE(a_skipped_answer_does_not_tell_that_a_server_leaves) {
+  auto site = gateway_harness(1);
+  site.AddCommonScript({{MakeRefusal(503, kIdField)}, ending::keep});
+  const auto first = site.Send(MakeRequest("plain", "a"));
+  site.RunUntil([&] { return IsOver(first); });
+  site.AddCommonScript(
+      {{MakeRefusal(503, "Ebonythread-Request-Id: a\r\nServer-Leaving: 1\r\n") +
+        MakeResponse(200, "whole")},
+       ending::keep});
+  for (const auto* id : {"b", "c"}) {
+    const auto answer = site.Send(MakeRequest("plain", id));
+    site.RunUntil([&] { return IsOver(answer); });
+    BOOST_TEST(answer->status == 200, id);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_connection_is_used_again_for_other_requests) {
   auto site = gateway_harness(1);
   for (auto i = 0; i < 20; ++i) {
