Frames and files of the disk in modules of their own

Change: drivers/disk_frame (frames with checksums) and drivers/disk_file (whole writes, reads, folder syncs) are taken out of drivers/disk_store, no behaviour changed.

--- a/drivers/disk_store.h
+++ b/drivers/disk_store.h
@@ -1,13 +1,11 @@
 #ifndef EBONY_DRIVERS_DISK_STORE_H_
 #define EBONY_DRIVERS_DISK_STORE_H_
 
-#include <unistd.h>
-
-#include <functional>
 #include <optional>
 #include <string>
 
 #include "consensus/raft_types.h"
+#include "drivers/disk_file.h"
 
 namespace ebony {
 
@@ -17,9 +15,6 @@
   membership group;  // initial members; empty for a node that joins later
 };
 
-// Writes bytes to a descriptor, with the contract of write(2).
-using disk_write = std::function<ssize_t(int, const void*, std::size_t)>;
-
 // The durable state of one control voter in one data folder:
 //   identity  written once
 //   snapshot  replaced by rename
@@ -38,7 +33,6 @@
 
   auto GetPath(const std::string& name) const -> std::string;
   auto ReplaceFile(const std::string& name, const std::string& bytes) -> void;
-  auto SyncFolder() -> void;
   auto OpenLog() -> void;
   auto TruncateTornTail() -> void;
   auto LoadSnapshot() -> snapshot;
