What began a stream outlives everyone who knew it

Cause: the origin of a stream was in the memory of its gateway and of the leader only. Ruled out: a version that is gone (software_known named both), a question that did not reach the leader (ebony_origin_answers_total counted it).

--- a/codec/message_reader.cc
+++ b/codec/message_reader.cc
@@ -95,6 +95,11 @@
   return EraseUnreadable(*message.mutable_backends());
 }
 
+auto EraseUnreadableRows(schema::fact_batch& message) -> std::size_t {
+  return EraseUnreadable(*message.mutable_streams()) +
+         EraseUnreadable(*message.mutable_departures());
+}
+
 template <typename Message>
 auto ParseAndErase(const std::string& bytes, Message& message)
     -> std::optional<std::size_t> {
@@ -121,4 +126,9 @@
   return ParseAndErase(bytes, message);
 }
 
+auto ReadMessage(const std::string& bytes, schema::fact_batch& message)
+    -> std::optional<std::size_t> {
+  return ParseAndErase(bytes, message);
+}
+
 }  // namespace ebony
--- a/codec/message_reader.h
+++ b/codec/message_reader.h
@@ -19,6 +19,9 @@
     -> std::optional<std::size_t>;
 auto ReadMessage(const std::string& bytes, schema::announce_batch& message)
     -> std::optional<std::size_t>;
+// The same for what was read from the disk.
+auto ReadMessage(const std::string& bytes, schema::fact_batch& message)
+    -> std::optional<std::size_t>;
 
 }  // namespace ebony
 
--- a/core/software_versions.cc
+++ b/core/software_versions.cc
@@ -29,6 +29,18 @@
   return only;
 }
 
+auto software_versions::GetMixedServices() const -> std::set<service_name> {
+  auto services = std::set<service_name>();
+  const auto* previous = static_cast<const stream_origin*>(nullptr);
+  for (const auto& item : items_) {  // ordered by service
+    if (previous != nullptr && previous->service == item.service) {
+      services.insert(item.service);
+    }
+    previous = &item;
+  }
+  return services;
+}
+
 auto software_versions::GetDigest() const -> std::uint32_t {
   auto digest = std::uint64_t{1};
   for (const auto& item : items_) {
--- a/core/software_versions.h
+++ b/core/software_versions.h
@@ -26,6 +26,9 @@
   // for all other services.
   auto GetOnly(const service_name& service) const
       -> std::optional<software_version>;
+  // Returns the services that have several versions. Only there does the origin
+  // of a stream decide where it may go on.
+  auto GetMixedServices() const -> std::set<service_name>;
   // Returns a hash of the set that is never 0.
   auto GetDigest() const -> std::uint32_t;
   auto get_items() const -> const std::set<stream_origin>& { return items_; }
--- a/entry/stream_origins.h
+++ b/entry/stream_origins.h
@@ -63,6 +63,7 @@
 
   auto HasQuestions() const -> bool { return !questions_.empty(); }
   auto get_size() const -> std::size_t { return table_.get_size(); }
+  auto get_table() const -> const stream_origin_table& { return table_; }
 };
 
 }  // namespace ebony
--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -55,6 +55,13 @@
   return options;
 }
 
+auto MakeJournalOptions(const site_settings& settings)
+    -> fact_journal::options {
+  auto options = fact_journal::options();
+  options.folder = settings.data_folder;
+  return options;
+}
+
 auto MakeRandomNumber() -> std::uint64_t {
   auto source = std::random_device();
   return std::uniform_int_distribution<std::uint64_t>()(source);
@@ -91,6 +98,7 @@
       quota_desk_(GetQuotaTerms(settings_.quota_window,
                                 settings_.quota_tolerance,
                                 settings_.quota_slack)),
+      facts_(MakeJournalOptions(settings_), log, counters),
       order_executor_(
           settings_,
           loop,
@@ -535,13 +543,32 @@
   }
 }
 
+auto coordinator_daemon::GetKnownFacts() const -> known_facts {
+  return {origins_.get_table(), software_.GetMixedServices()};
+}
+
+// What an earlier run has written is reported to the leader, as what gateways
+// report is.
+auto coordinator_daemon::LoadFacts() -> void {
+  const auto now = loop_.RefreshNow();
+  auto receivers = fact_receivers();
+  receivers.on_stream = [this, now](stream_key key,
+                                    const stream_origin& origin) {
+    origins_.OnBegun(key, origin, now);
+  };
+  facts_.Load(raft_.get_self(), receivers, now, GetWallTime());
+  facts_.OnRestored(GetKnownFacts());
+}
+
 auto coordinator_daemon::Tick() -> void {
   raft_.Tick();
   UpdateLeadership();
+  facts_.Tick(GetKnownFacts(), loop_.get_now(), GetWallTime());
 }
 
 auto coordinator_daemon::Open() -> void {
   raft_.Open();
+  LoadFacts();
 }
 
 auto coordinator_daemon::Start() -> void {
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -28,6 +28,7 @@
 #include "drivers/http_pool.h"
 #include "entry/stream_origins.h"
 #include "main/crash_desk.h"
+#include "main/durable_facts.h"
 #include "main/order_executor.h"
 #include "main/quota_desk.h"
 #include "main/raft_node.h"
@@ -66,6 +67,10 @@
   quota_desk quota_desk_;
   config_number quotas_number_;  // of the configuration whose quotas it has
   std::string reported_leader_;  // that was sent all origins
+  // The leader's list of streams whose copies this follower keeps.
+  std::uint64_t stream_source_ = 0;
+  std::uint64_t stream_revision_ = 0;
+  durable_facts facts_;
   software_census census_;
   mono_time census_taken_;
   bool is_census_due_ = false;     // before its regular time
@@ -85,6 +90,7 @@
     host_port link;
     data_centre_name data_centre;
     mono_time last_seen;
+    bool keeps_streams = false;
   };
   std::map<vm_name, follower> followers_;
   sync_relay relay_;
@@ -187,6 +193,12 @@
   // Fills in what is known of the streams that the request asks for.
   auto FillOrigins(const schema::sync_request& request,
                    schema::sync_answer& reply) -> void;
+  // Returns true if the follower on `vm` is one of those that keep copies of
+  // what began each stream.
+  auto IsStreamKeeper(const vm_name& vm) const -> bool;
+  auto FillStreamCopies(const schema::sync_request& request,
+                        schema::sync_answer& reply) -> void;
+  auto RequestStreamCopies(schema::sync_request& request) const -> void;
   auto FillRegistry(const schema::sync_request& request,
                     schema::sync_answer& reply) -> void;
   auto FillGatewayAnswer(const schema::sync_request& request,
@@ -205,6 +217,9 @@
   auto RecordRelayedGateways(const schema::sync_request& request) -> void;
   auto GetLeaderSyncInterval() const -> duration;
 
+  auto GetKnownFacts() const -> known_facts;
+  auto LoadFacts() -> void;
+
   auto Tick() -> void;
   auto UpdateLeadership() -> void;
   auto ExecuteOrders() -> void;
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -21,6 +21,11 @@
 // The leader stops offering a follower as a relay after this time without a
 // sync from it.
 constexpr duration kFollowerTimeout = std::chrono::milliseconds(1500);
+// Followers that keep copies of what began each stream, beside the leader: as
+// many as disks that may be lost at once.
+constexpr std::size_t kStreamKeepers = 2;
+// Streams in one answer to a follower.
+constexpr std::size_t kMaxStreamCopies = 4096;
 constexpr duration kLeaderSyncTimeout = std::chrono::milliseconds(800);
 // Below the 1 s timeout of backend servers that announce themselves.
 constexpr duration kForwardTimeout = std::chrono::milliseconds(900);
@@ -292,6 +297,46 @@
   metrics_.Set("ebony_known_streams", static_cast<double>(origins_.get_size()));
 }
 
+auto coordinator_daemon::IsStreamKeeper(const vm_name& vm) const -> bool {
+  const auto now = loop_.get_now();
+  auto before = std::size_t{0};
+  for (const auto& [name, item] : followers_) {
+    if (name == vm) {
+      return item.keeps_streams && before < kStreamKeepers;
+    }
+    const auto is_live = now - item.last_seen <= kFollowerTimeout;
+    before += is_live && item.keeps_streams ? 1 : 0;
+  }
+  return false;
+}
+
+// Only where a service has several software versions does the origin of a
+// stream have to outlive this leader.
+auto coordinator_daemon::FillStreamCopies(const schema::sync_request& request,
+                                          schema::sync_answer& reply) -> void {
+  const auto services = software_.GetMixedServices();
+  const auto source = GetStreamSource(registry_epoch_, services);
+  if (source == 0 || !IsStreamKeeper(vm_name(request.vm()))) {
+    return;
+  }
+  auto revision =
+      request.stream_source() == source ? request.have_streams() : 0;
+  const auto streams =
+      origins_.get_table().ListSince(revision, services, kMaxStreamCopies);
+  for (const auto& [origin, keys] : streams) {
+    AddBegunStreams(*reply.add_origins(), origin, keys);
+  }
+  reply.set_stream_source(source);
+  reply.set_stream_revision(revision);
+}
+
+auto coordinator_daemon::RequestStreamCopies(
+    schema::sync_request& request) const -> void {
+  request.set_keeps_streams(true);
+  request.set_stream_source(stream_source_);
+  request.set_have_streams(stream_revision_);
+}
+
 auto coordinator_daemon::FillRegistry(const schema::sync_request& request,
                                       schema::sync_answer& reply) -> void {
   reply.set_roster_source(registry_epoch_);
@@ -388,9 +433,10 @@
 auto coordinator_daemon::FillFollowerAnswer(const schema::sync_request& request,
                                             schema::sync_answer& reply)
     -> void {
-  followers_[vm_name(request.vm())] = {host_port(request.relay_link()),
-                                       data_centre_name(request.data_centre()),
-                                       loop_.get_now()};
+  followers_[vm_name(request.vm())] = {
+      host_port(request.relay_link()), data_centre_name(request.data_centre()),
+      loop_.get_now(), request.keeps_streams()};
+  FillStreamCopies(request, reply);
   RecordRelayedGateways(request);
   RecordLoads(request);
   RecordPermitRequests(request);
@@ -539,6 +585,7 @@
   relay_.RequestConfig(request, config_);
   crash_desk_.FillLeaderRequest(request, now);
   quota_desk_.FillLeaderRequest(request, now);
+  RequestStreamCopies(request);
   const auto streams = origins_.TakeReport(now);
   for (const auto& [origin, keys] : streams.begun) {
     AddBegunStreams(*request.add_begun_streams(), origin, keys);
@@ -584,6 +631,8 @@
   origins_.OnReportAnswered(
       std::exchange(reported_leader_, reply.roster_source()) !=
       reply.roster_source());
+  stream_source_ = reply.stream_source();
+  stream_revision_ = reply.stream_revision();
   for (const auto& row : reply.origins()) {
     ForEachBegunStream(
         row, [this, now](stream_key key, const stream_origin& origin) {
--- a/main/raft_node.h
+++ b/main/raft_node.h
@@ -134,6 +134,8 @@
   // Link addresses of all members, including this node; those of the seeds
   // while the membership is unknown.
   auto GetLinkAddresses() const -> std::vector<host_port>;
+  // Identity of this node's disk. Requires an open disk.
+  auto get_self() const -> const node_id& { return self_; }
   auto get_own_link_address() const -> host_port {
     return GetLinkAddress(self_);
   }
--- a/tests/coordinator_harness.cc
+++ b/tests/coordinator_harness.cc
@@ -1,11 +1,9 @@
 #include "tests/coordinator_harness.h"
 #include "platform/request_codec.h"
 
-#include <unistd.h>
-
 #include <boost/test/unit_test.hpp>
-#include <filesystem>
 #include <random>
+#include <utility>
 
 #include "codec/link_codec.h"
 #include "main/site_paths.h"
@@ -75,13 +73,15 @@
 
 }  // namespace
 
-coordinator_harness::coordinator_harness()
-    : pool_(loop_, &platform::DecodeAnsweredId) {
-  auto name = std::string("/tmp/ebony-coordinator-XXXXXX");
-  folder_ = ::mkdtemp(name.data());
-  const auto port =
-      kFirstPort +
-      static_cast<int>(std::random_device()() % std::uint32_t{kPorts / 4}) * 4;
+coordinator_machine::coordinator_machine()
+    : first_port_(kFirstPort + static_cast<int>(std::random_device()() %
+                                                std::uint32_t{kPorts / 4}) *
+                                   4) {}
+
+coordinator_harness::coordinator_harness(
+    std::shared_ptr<coordinator_machine> machine)
+    : pool_(loop_, &platform::DecodeAnsweredId), machine_(std::move(machine)) {
+  const auto port = machine_->get_first_port();
   settings_.vm = vm_name("core-1");
   settings_.data_centre = data_centre_name("z1");
   settings_.ip = GetIp(1);
@@ -95,7 +95,7 @@
                                  std::to_string(port + 1));
   }
   settings_.is_bootstrap = true;
-  settings_.data_folder = folder_ + "/data";
+  settings_.data_folder = machine_->GetDataFolder();
   settings_.tolerated_vm_losses = 1;
   settings_.order_lease = milliseconds(3000);
   for (auto number = 2; number <= kVoters; ++number) {
@@ -109,7 +109,6 @@
 
 coordinator_harness::~coordinator_harness() {
   coordinator_.reset();
-  std::filesystem::remove_all(folder_);
 }
 
 auto coordinator_harness::GetLink(int number) const -> host_port {
@@ -192,6 +191,11 @@
 }
 
 auto coordinator_harness::Announce(const std::vector<std::string>& ids) -> int {
+  return Announce(ids, {});
+}
+
+auto coordinator_harness::Announce(const std::vector<std::string>& ids,
+                                   const std::string& software) -> int {
   auto batch = schema::announce_batch();
   for (const auto& id : ids) {
     auto* row = batch.add_backends();
@@ -200,6 +204,7 @@
     row->set_address("10.0.0.9:8080");
     row->set_sequence(1);
     row->set_born_ms(1);
+    row->set_software(software);
   }
   const auto response = Call(GetLink(1), RenderPost(kAnnouncePath, GetLink(1),
                                                     batch.SerializeAsString()));
--- a/tests/coordinator_harness.h
+++ b/tests/coordinator_harness.h
@@ -14,6 +14,7 @@
 #include "drivers/http_pool.h"
 #include "main/coordinator_daemon.h"
 #include "schema/site.pb.h"
+#include "tests/test_folder.h"
 
 namespace ebony::testing {
 
@@ -24,6 +25,20 @@
   bool is_complete = false;
 };
 
+// The disk and the ports of a coordinator, which outlive its process.
+class coordinator_machine {
+  test_folder folder_;
+  int first_port_;
+
+ public:
+  coordinator_machine();
+
+  auto GetDataFolder() const -> std::string {
+    return folder_.get_path() + "/data";
+  }
+  auto get_first_port() const -> int { return first_port_; }
+};
+
 // Runs the real coordinator daemon on loopback with two scripted voters, which
 // grant every vote and accept every entry until they are told not to.
 class coordinator_harness {
@@ -31,7 +46,7 @@
   event_log log_{"test", 0};
   metrics counters_;
   http_pool pool_;
-  std::string folder_;
+  std::shared_ptr<coordinator_machine> machine_;
   site_settings settings_;
   std::vector<std::unique_ptr<http_listener>> voters_;
   std::unique_ptr<coordinator_daemon> coordinator_;
@@ -47,7 +62,10 @@
       -> std::shared_ptr<coordinator_response>;
 
  public:
-  coordinator_harness();
+  // Starts a coordinator on a machine, a new one unless it is given. A machine
+  // runs one coordinator at a time.
+  explicit coordinator_harness(std::shared_ptr<coordinator_machine> machine =
+                                   std::make_shared<coordinator_machine>());
   ~coordinator_harness();
   coordinator_harness(const coordinator_harness&) = delete;
   auto operator=(const coordinator_harness&) -> coordinator_harness& = delete;
@@ -61,6 +79,9 @@
   // Another coordinator passes on announcements of servers with these ids.
   // Returns the status of the answer.
   auto Announce(const std::vector<std::string>& ids) -> int;
+  // The same of servers that run a software version of the service `s`.
+  auto Announce(const std::vector<std::string>& ids,
+                const std::string& software) -> int;
   // Sends a whole request to the address of servers and operators, or to that
   // of the directory.
   auto CallOperatorAddress(const std::string& bytes)
