What crashes servers outlives a kill of all processes

Cause: crash records were in the memory of gateways and coordinators only. Ruled out: records that gateways didn't ask for in time (a new gateway gets all with its first sync, before it serves).

--- a/core/crash_ledger.cc
+++ b/core/crash_ledger.cc
@@ -80,10 +80,13 @@
   const auto key = report.record.key;
   auto& item = GetOrAdd(key);
   const auto is_new = item.revision == 0;
+  // An older copy that adds something doesn't make the record older.
+  const auto changed_at =
+      is_new ? now - report.age : std::max(item.changed_at, now - report.age);
   if (!MergeCrashRecord(item.record, report.record) && !is_new) {
     return false;
   }
-  Touch(item, now - report.age);
+  Touch(item, changed_at);
   if (!from_above) {
     unreported_.insert(key);
   }
--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -544,7 +544,8 @@
 }
 
 auto coordinator_daemon::GetKnownFacts() const -> known_facts {
-  return {origins_.get_table(), software_.GetMixedServices()};
+  return {crash_desk_.get_ledger(), origins_.get_table(),
+          software_.GetMixedServices()};
 }
 
 // What an earlier run has written is reported to the leader, as what gateways
@@ -552,6 +553,9 @@
 auto coordinator_daemon::LoadFacts() -> void {
   const auto now = loop_.RefreshNow();
   auto receivers = fact_receivers();
+  receivers.on_crash_record = [this, now](const crash_report& report) {
+    crash_desk_.Restore(report, now);
+  };
   receivers.on_stream = [this, now](stream_key key,
                                     const stream_origin& origin) {
     origins_.OnBegun(key, origin, now);
--- a/main/crash_desk.h
+++ b/main/crash_desk.h
@@ -44,6 +44,10 @@
 
   // This coordinator is the leader from `now` on.
   auto StartLeading(mono_time now) -> void { trials_.Restart(now); }
+  // Takes a record that an earlier run has written. The leader is told of it.
+  auto Restore(const crash_report& report, mono_time now) -> void {
+    ledger_.Merge(report, false, now);
+  }
   // Answers the sync of a gateway or, as the leader, of a relay.
   auto HandleSync(const schema::sync_request& request,
                   desk_role role,
--- a/main/durable_facts.cc
+++ b/main/durable_facts.cc
@@ -13,6 +13,9 @@
 
 namespace {
 
+// Longer than anything is kept; larger ages are no ages.
+constexpr duration kLongestAge = std::chrono::hours(24 * 365);
+
 auto ToUnixMs(wall_time wall) -> std::uint64_t {
   return static_cast<std::uint64_t>(
       std::max<std::int64_t>(0, wall.time_since_epoch().count()));
@@ -23,8 +26,7 @@
 auto GetBatchAge(const schema::fact_batch& batch, wall_time wall) -> duration {
   const auto now_ms = ToUnixMs(wall);
   const auto age_ms = now_ms - std::min(now_ms, batch.written_ms());
-  constexpr auto kLongest = std::chrono::hours(24 * 365);
-  return std::min<duration>(kLongest, std::chrono::milliseconds(age_ms));
+  return std::min<duration>(kLongestAge, std::chrono::milliseconds(age_ms));
 }
 
 auto IsEmpty(const schema::fact_batch& batch) -> bool {
@@ -60,6 +62,12 @@
                             const fact_receivers& receivers,
                             wall_time wall) -> void {
   const auto age = GetBatchAge(batch, wall);
+  for (const auto& row : batch.crashes()) {
+    auto report = ToDomain(row);
+    report.age =
+        std::clamp<duration>(report.age, duration(0), kLongestAge) + age;
+    receivers.on_crash_record(report);
+  }
   if (age >= 2 * stream_origin_table::kLifetime) {
     return;
   }
@@ -104,18 +112,23 @@
 }
 
 auto durable_facts::OnRestored(const known_facts& facts) -> void {
+  crash_revision_ = facts.crashes.get_revision();
   stream_source_ = GetStreamSource({}, facts.services);
   stream_revision_ = facts.streams.get_revision();
 }
 
-auto durable_facts::ForgetRevisions() -> void {
-  stream_revision_ = 0;
+auto durable_facts::AddCrashes(const known_facts& facts,
+                               mono_time now,
+                               schema::fact_batch& batch) -> void {
+  while (crash_revision_ < facts.crashes.get_revision()) {
+    for (const auto& report : facts.crashes.ListSince(crash_revision_, now)) {
+      *batch.add_crashes() = ToSchema(report);
+    }
+  }
 }
 
-auto durable_facts::FillBatch(const known_facts& facts,
-                              mono_time now,
-                              schema::fact_batch& batch) -> void {
-  static_cast<void>(now);
+auto durable_facts::AddStreams(const known_facts& facts,
+                               schema::fact_batch& batch) -> void {
   // A service that has just got a second version begins with all its streams.
   const auto source = GetStreamSource({}, facts.services);
   if (std::exchange(stream_source_, source) != source) {
@@ -128,6 +141,20 @@
   }
 }
 
+auto durable_facts::FillBatch(const known_facts& facts,
+                              bool rotates,
+                              mono_time now,
+                              schema::fact_batch& batch) -> void {
+  if (rotates) {
+    crash_revision_ = 0;
+  }
+  if (must_rewrite_) {
+    stream_revision_ = 0;
+  }
+  AddCrashes(facts, now, batch);
+  AddStreams(facts, batch);
+}
+
 auto durable_facts::Write(const schema::fact_batch& batch,
                           bool rotates,
                           mono_time now) -> void {
@@ -162,11 +189,8 @@
     return;
   }
   const auto rotates = must_rewrite_ || now - file_begun_ >= kFileTime;
-  if (must_rewrite_) {
-    ForgetRevisions();
-  }
   auto batch = schema::fact_batch();
-  FillBatch(facts, now, batch);
+  FillBatch(facts, rotates, now, batch);
   if (IsEmpty(batch)) {
     return;
   }
--- a/main/durable_facts.h
+++ b/main/durable_facts.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "core/crash_ledger.h"
 #include "core/ids.h"
 #include "core/metrics.h"
 #include "core/stream_origin_table.h"
@@ -31,6 +32,7 @@
 
 // What a coordinator knows at a moment.
 struct known_facts {
+  const crash_ledger& crashes;
   const stream_origin_table& streams;
   // Services whose streams are kept: those with several software versions.
   std::set<service_name> services;
@@ -39,6 +41,7 @@
 // Called for each fact that an earlier run of this coordinator has written. The
 // receiver merges it with what it knows.
 struct fact_receivers {
+  std::function<void(const crash_report&)> on_crash_record;
   std::function<void(stream_key, const stream_origin&)> on_stream;
 };
 
@@ -56,17 +59,23 @@
   mono_time file_begun_;
   mono_time next_retry_;
   bool must_rewrite_ = false;  // a write has failed
+  std::uint64_t crash_revision_ = 0;
   std::uint64_t stream_source_ = 0;
   std::uint64_t stream_revision_ = 0;
 
   auto Restore(const schema::fact_batch& batch,
                const fact_receivers& receivers,
                wall_time wall) -> void;
+  // Fills in what is new. The first batch of a file has all that the file
+  // before need not keep any more.
   auto FillBatch(const known_facts& facts,
+                 bool rotates,
                  mono_time now,
                  schema::fact_batch& batch) -> void;
-  // Starts all lists anew, so that the next batches have everything.
-  auto ForgetRevisions() -> void;
+  auto AddCrashes(const known_facts& facts,
+                  mono_time now,
+                  schema::fact_batch& batch) -> void;
+  auto AddStreams(const known_facts& facts, schema::fact_batch& batch) -> void;
   auto Write(const schema::fact_batch& batch, bool rotates, mono_time now)
       -> void;
 
--- a/tests/durable_facts_test.cc
+++ b/tests/durable_facts_test.cc
@@ -35,6 +35,7 @@
   event_log log{"test", 0};
   metrics counters;
   durable_facts facts;
+  crash_ledger crashes;
   stream_origin_table streams;
   std::set<service_name> services = {service_name("s")};
   mono_time now{std::chrono::hours(1)};
@@ -47,9 +48,12 @@
     options.folder = folder.get_path();
     return options;
   }
-  auto GetKnown() -> known_facts { return {streams, services}; }
+  auto GetKnown() -> known_facts { return {crashes, streams, services}; }
   auto Load(wall_time wall, const node_id& node = kNode) -> void {
     auto receivers = fact_receivers();
+    receivers.on_crash_record = [this](const crash_report& report) {
+      crashes.Merge(report, false, now);
+    };
     receivers.on_stream = [this](stream_key key, const stream_origin& origin) {
       streams.Add(key, origin, now);
     };
@@ -114,6 +118,48 @@
   return keys;
 }
 
+constexpr auto kBadKey = suspect_key(0xbad);
+
+// Returns a record that proves that a segment crashes servers.
+auto MakeProof() -> crash_record {
+  auto record = crash_record();
+  record.key = kBadKey;
+  record.rounds = 4;
+  record.begun_rounds = 4;
+  for (auto i = std::uint64_t{1}; i <= 4; ++i) {
+    record.runs.Add(server_run(i));
+    record.requests.Add(request_mark(i));
+  }
+  record.is_isolated = true;
+  return record;
+}
+
+// A gateway tells what it knows, and asks for what it doesn't.
+auto MakeCrashSync(bool tells) -> schema::sync_request {
+  auto request = schema::sync_request();
+  request.set_vm("edge-1");
+  request.set_caller_address("127.0.0.1:1");
+  if (tells) {
+    *request.add_crashes() = ToSchema(crash_report{MakeProof(), seconds(1)});
+  }
+  return request;
+}
+
+// Writes the proof on a disk.
+auto WriteProof(const test_folder& folder) -> void {
+  auto run = facts_run(folder);
+  run.Load(kStart);
+  run.crashes.Add(MakeProof(), run.now);
+  run.Write(kStart);
+}
+
+// Returns what a start so much later finds.
+auto JudgeAfter(const test_folder& folder, seconds time) -> suspicion {
+  auto run = facts_run(folder);
+  run.Load(kStart + time);
+  return run.crashes.Judge(kBadKey, run.now);
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(durable_facts_rules)
@@ -340,6 +386,94 @@
   BOOST_TEST(Knows(run, 7));
 }
 
+// BUDGET: after a kill of all processes, requests with a part that was known to
+// crash servers crashed them again.
+BOOST_AUTO_TEST_CASE(what_crashes_servers_outlives_all_processes) {
+  const auto machine = std::make_shared<coordinator_machine>();
+  {
+    auto site = coordinator_harness(machine);
+    site.AwaitLeadership();
+    site.Sync(MakeCrashSync(true));
+    site.RunFor(kWriteTime);
+  }
+  auto site = coordinator_harness(machine);
+  site.AwaitLeadership();
+  const auto answer = site.Sync(MakeCrashSync(false));
+  BOOST_REQUIRE(answer.crashes_size() == 1);
+  const auto report = ToDomain(answer.crashes(0));
+  BOOST_TEST(IsProvenCrasher(report.record));
+  BOOST_TEST((report.age >= seconds(1) && report.age < seconds(30)));
+}
+
+// The verdict holds as long as it would have held in memory.
+BOOST_AUTO_TEST_CASE(a_verdict_is_not_kept_longer_than_in_memory) {
+  const auto folder = test_folder();
+  WriteProof(folder);
+  BOOST_TEST((JudgeAfter(folder, seconds(0)) == suspicion::quarantined));
+  BOOST_TEST((JudgeAfter(folder, seconds(290)) == suspicion::quarantined));
+  BOOST_TEST((JudgeAfter(folder, seconds(301)) == suspicion::suspected));
+  {
+    auto run = facts_run(folder);
+    run.Load(kStart + std::chrono::hours(1));
+    run.crashes.Forget(run.now);
+    BOOST_TEST(run.crashes.get_size() == 0U);
+  }
+  // A clock that was set back makes it as young as it was, not younger.
+  BOOST_TEST((JudgeAfter(folder, seconds(-86400)) == suspicion::quarantined));
+}
+
+// The part has stopped crashing servers, and requests with it are served.
+BOOST_AUTO_TEST_CASE(a_cleared_verdict_does_not_come_back) {
+  const auto folder = test_folder();
+  const auto other_folder = test_folder();
+  WriteProof(folder);
+  WriteProof(other_folder);
+  {
+    auto run = facts_run(folder);
+    run.Load(kStart + seconds(1));
+    BOOST_TEST(run.crashes.Clear(kBadKey, run.now));
+    run.Write(kStart + seconds(1));
+  }
+  BOOST_TEST((JudgeAfter(folder, seconds(2)) == suspicion::none));
+  // The older copy of another disk is reported to a leader that knows better.
+  auto leader = facts_run(folder);
+  leader.Load(kStart + seconds(2));
+  auto follower = facts_run(other_folder);
+  follower.Load(kStart + seconds(2));
+  for (const auto& report : follower.crashes.TakeReport(follower.now)) {
+    leader.crashes.Merge(report, true, leader.now);
+  }
+  BOOST_TEST((leader.crashes.Judge(kBadKey, leader.now) == suspicion::none));
+}
+
+// An older copy with one more server would have ended the quarantine early.
+BOOST_AUTO_TEST_CASE(an_older_copy_makes_no_record_older) {
+  auto ledger = crash_ledger();
+  const auto now = mono_time(std::chrono::hours(1));
+  ledger.Add(MakeProof(), now);
+  auto older = MakeProof();
+  older.runs.Add(server_run(5));
+  BOOST_TEST(ledger.Merge({older, seconds(400)}, false, now));
+  BOOST_TEST((ledger.Judge(kBadKey, now) == suspicion::quarantined));
+}
+
+// A file has all records from its beginning, as the one before is dropped.
+BOOST_AUTO_TEST_CASE(verdicts_outlive_each_change_of_files) {
+  const auto folder = test_folder();
+  WriteProof(folder);
+  {
+    auto run = facts_run(folder);
+    run.Load(kStart);
+    // A stream a second, so that files change.
+    for (auto second = std::uint64_t{1}; second < 200; ++second) {
+      run.streams.Add(stream_key(second), kOrigin, run.now);
+      run.Write(kStart + seconds(second));
+      run.now += seconds(1) - durable_facts::kWriteInterval;
+    }
+  }
+  BOOST_TEST((JudgeAfter(folder, seconds(200)) == suspicion::quarantined));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
