--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -545,7 +545,9 @@
 
 auto coordinator_daemon::GetKnownFacts() const -> known_facts {
   return {crash_desk_.get_ledger(), origins_.get_table(),
-          software_.GetMixedServices()};
+          software_.GetMixedServices(),
+          was_leader_ ? registry_ : relay_.get_registry(),
+          was_leader_ ? registry_epoch_ : std::string()};
 }
 
 // What an earlier run has written is reported to the leader, as what gateways
@@ -560,6 +562,9 @@
                                     const stream_origin& origin) {
     origins_.OnBegun(key, origin, now);
   };
+  receivers.on_departure = [this, now](const backend_record& record) {
+    relay_.RestoreDeparture(record, now);
+  };
   facts_.Load(raft_.get_self(), receivers, now, GetWallTime());
   facts_.OnRestored(GetKnownFacts());
 }
--- a/main/durable_facts.cc
+++ b/main/durable_facts.cc
@@ -29,6 +29,17 @@
   return std::min<duration>(kLongestAge, std::chrono::milliseconds(age_ms));
 }
 
+// Returns what has to be known of a server that has left.
+auto MakeDepartureRow(const backend_record& record, mono_time now)
+    -> schema::backend_status_row {
+  auto departure = backend_record();
+  departure.status.id = record.status.id;
+  departure.status.start_time_ms = record.status.start_time_ms;
+  departure.has_left = true;
+  departure.last_seen = record.last_seen;
+  return ToSchema(departure, now);
+}
+
 auto IsEmpty(const schema::fact_batch& batch) -> bool {
   return batch.crashes().empty() && batch.streams().empty() &&
          batch.departures().empty();
@@ -60,6 +71,7 @@
 
 auto durable_facts::Restore(const schema::fact_batch& batch,
                             const fact_receivers& receivers,
+                            mono_time now,
                             wall_time wall) -> void {
   const auto age = GetBatchAge(batch, wall);
   for (const auto& row : batch.crashes()) {
@@ -68,6 +80,15 @@
         std::clamp<duration>(report.age, duration(0), kLongestAge) + age;
     receivers.on_crash_record(report);
   }
+  for (const auto& row : batch.departures()) {
+    auto record = ToDomain(row, now);
+    record.last_seen -= age;
+    const auto is_current =
+        now - record.last_seen <= backend_registry_options().remove_after;
+    if (record.has_left && IsName(row.id()) && is_current) {
+      receivers.on_departure(record);
+    }
+  }
   if (age >= 2 * stream_origin_table::kLifetime) {
     return;
   }
@@ -98,7 +119,7 @@
     const auto bad_rows = ReadMessage(payload, batch);
     unreadable += static_cast<std::int64_t>(bad_rows.value_or(1));
     if (bad_rows && batch.node() == node_) {
-      Restore(batch, receivers, wall);
+      Restore(batch, receivers, now, wall);
     } else if (bad_rows) {
       ++foreign;
     }
@@ -127,6 +148,21 @@
   }
 }
 
+auto durable_facts::AddDepartures(const known_facts& facts,
+                                  mono_time now,
+                                  schema::fact_batch& batch) -> void {
+  if (facts.registry_epoch != registry_epoch_) {
+    registry_epoch_ = facts.registry_epoch;
+    registry_revision_ = 0;
+  }
+  for (const auto* record : facts.registry.ListSince(registry_revision_)) {
+    if (record->has_left) {
+      *batch.add_departures() = MakeDepartureRow(*record, now);
+    }
+  }
+  registry_revision_ = facts.registry.get_revision();
+}
+
 auto durable_facts::AddStreams(const known_facts& facts,
                                schema::fact_batch& batch) -> void {
   // A service that has just got a second version begins with all its streams.
@@ -147,11 +183,13 @@
                               schema::fact_batch& batch) -> void {
   if (rotates) {
     crash_revision_ = 0;
+    registry_revision_ = 0;
   }
   if (must_rewrite_) {
     stream_revision_ = 0;
   }
   AddCrashes(facts, now, batch);
+  AddDepartures(facts, now, batch);
   AddStreams(facts, batch);
 }
 
--- a/main/durable_facts.h
+++ b/main/durable_facts.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "core/backend_registry.h"
 #include "core/crash_ledger.h"
 #include "core/ids.h"
 #include "core/metrics.h"
@@ -36,6 +37,9 @@
   const stream_origin_table& streams;
   // Services whose streams are kept: those with several software versions.
   std::set<service_name> services;
+  // Of all backend servers; only departures are kept.
+  const backend_registry& registry;
+  std::string registry_epoch;  // identifies the registry's revisions
 };
 
 // Called for each fact that an earlier run of this coordinator has written. The
@@ -43,6 +47,8 @@
 struct fact_receivers {
   std::function<void(const crash_report&)> on_crash_record;
   std::function<void(stream_key, const stream_origin&)> on_stream;
+  // The record has no more than the server's id and start time.
+  std::function<void(const backend_record&)> on_departure;
 };
 
 // Keeps on the disk of this coordinator what daemons have told each other, and
@@ -62,9 +68,12 @@
   std::uint64_t crash_revision_ = 0;
   std::uint64_t stream_source_ = 0;
   std::uint64_t stream_revision_ = 0;
+  std::string registry_epoch_;
+  std::uint64_t registry_revision_ = 0;
 
   auto Restore(const schema::fact_batch& batch,
                const fact_receivers& receivers,
+               mono_time now,
                wall_time wall) -> void;
   // Fills in what is new. The first batch of a file has all that the file
   // before need not keep any more.
@@ -75,6 +84,9 @@
   auto AddCrashes(const known_facts& facts,
                   mono_time now,
                   schema::fact_batch& batch) -> void;
+  auto AddDepartures(const known_facts& facts,
+                     mono_time now,
+                     schema::fact_batch& batch) -> void;
   auto AddStreams(const known_facts& facts, schema::fact_batch& batch) -> void;
   auto Write(const schema::fact_batch& batch, bool rotates, mono_time now)
       -> void;
--- a/main/registry_replica.h
+++ b/main/registry_replica.h
@@ -46,6 +46,10 @@
   // it.
   auto ObserveLeaving(const backend_name& id, std::uint64_t start_time_ms)
       -> bool;
+  // Merges the departure of a server that an earlier run knew of.
+  auto RestoreDeparture(const backend_record& record, mono_time now) -> void {
+    registry_.Merge(record, now);
+  }
   // Applies an answer and calls `on_change` for each changed record. Returns
   // true if the answer is the first from a different leader or term.
   auto ApplyAnswer(const schema::sync_answer& answer,
--- a/main/sync_relay.h
+++ b/main/sync_relay.h
@@ -99,6 +99,11 @@
   auto get_registry() const -> const backend_registry& {
     return registry_.get_registry();
   }
+  // Takes the departure of a server that an earlier run knew of, so that it is
+  // known here if this coordinator becomes the leader.
+  auto RestoreDeparture(const backend_record& record, mono_time now) -> void {
+    registry_.RestoreDeparture(record, now);
+  }
   auto HasGateways() const -> bool { return !gateways_.empty(); }
   // Returns true if the next sync with the leader should not wait for the
   // regular interval, because a model or adapter is missing.
--- a/tests/coordinator_harness.cc
+++ b/tests/coordinator_harness.cc
@@ -212,6 +212,13 @@
   return response->status;
 }
 
+auto coordinator_harness::Leave(const std::string& id) -> int {
+  const auto response = CallOperatorAddress("DELETE /api/instances/" + id +
+                                            " HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunUntil([&] { return response->is_complete; });
+  return response->status;
+}
+
 auto coordinator_harness::Sync(const schema::sync_request& request)
     -> schema::sync_answer {
   const auto response =
--- a/tests/coordinator_harness.h
+++ b/tests/coordinator_harness.h
@@ -82,6 +82,8 @@
   // The same of servers that run a software version of the service `s`.
   auto Announce(const std::vector<std::string>& ids,
                 const std::string& software) -> int;
+  // A server says that it has left. Returns the status of the answer.
+  auto Leave(const std::string& id) -> int;
   // Sends a whole request to the address of servers and operators, or to that
   // of the directory.
   auto CallOperatorAddress(const std::string& bytes)
--- a/tests/durable_facts_test.cc
+++ b/tests/durable_facts_test.cc
@@ -36,6 +36,7 @@
   metrics counters;
   durable_facts facts;
   crash_ledger crashes;
+  backend_registry registry{backend_registry_options()};
   stream_origin_table streams;
   std::set<service_name> services = {service_name("s")};
   mono_time now{std::chrono::hours(1)};
@@ -48,7 +49,9 @@
     options.folder = folder.get_path();
     return options;
   }
-  auto GetKnown() -> known_facts { return {crashes, streams, services}; }
+  auto GetKnown() -> known_facts {
+    return {crashes, streams, services, registry, "epoch"};
+  }
   auto Load(wall_time wall, const node_id& node = kNode) -> void {
     auto receivers = fact_receivers();
     receivers.on_crash_record = [this](const crash_report& report) {
@@ -57,6 +60,9 @@
     receivers.on_stream = [this](stream_key key, const stream_origin& origin) {
       streams.Add(key, origin, now);
     };
+    receivers.on_departure = [this](const backend_record& record) {
+      registry.Merge(record, now);
+    };
     facts.Load(node, receivers, now, wall);
     facts.OnRestored(GetKnown());
   }
@@ -160,6 +166,38 @@
   return run.crashes.Judge(kBadKey, run.now);
 }
 
+// The heartbeat of a run of a server.
+auto MakeHeartbeat(std::uint64_t start_time_ms, std::uint64_t sequence)
+    -> backend_status {
+  auto status = backend_status();
+  status.id = backend_name("a");
+  status.service = service_name("s");
+  status.address = host_port("10.0.0.9:8080");
+  status.start_time_ms = start_time_ms;
+  status.sequence = sequence;
+  return status;
+}
+
+// The server leaves, and the disk has it.
+auto WriteDeparture(const test_folder& folder, std::uint64_t start_time_ms)
+    -> void {
+  auto run = facts_run(folder);
+  run.Load(kStart);
+  run.registry.Announce(MakeHeartbeat(start_time_ms, 1), run.now);
+  run.registry.Leave(backend_name("a"), 0, run.now);
+  run.Write(kStart);
+}
+
+// Returns what a heartbeat does that arrives so long after the departure, at a
+// coordinator that has just started.
+auto AnnounceAfter(const test_folder& folder,
+                   seconds time,
+                   const backend_status& status) -> announce_result {
+  auto run = facts_run(folder);
+  run.Load(kStart + time);
+  return run.registry.Announce(status, run.now);
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(durable_facts_rules)
@@ -474,6 +512,46 @@
   BOOST_TEST((JudgeAfter(folder, seconds(200)) == suspicion::quarantined));
 }
 
+// DRAIN: after a kill of all processes, a late heartbeat brought a server back
+// whose departure had been acknowledged.
+BOOST_AUTO_TEST_CASE(a_departure_outlives_all_processes) {
+  const auto machine = std::make_shared<coordinator_machine>();
+  {
+    auto site = coordinator_harness(machine);
+    site.AwaitLeadership();
+    site.Announce({"a", "b"});
+    BOOST_TEST(site.Leave("a") == 200);
+    site.RunFor(kWriteTime);
+  }
+  auto site = coordinator_harness(machine);
+  site.AwaitLeadership();
+  site.Announce({"a", "b"});
+  auto servers_ready = std::set<std::string>();
+  const auto answer = site.Sync(MakeCrashSync(false));
+  for (const auto& row : answer.backends()) {
+    if (!row.gone()) {
+      servers_ready.insert(row.id());
+    }
+  }
+  BOOST_TEST(servers_ready == std::set<std::string>{"b"});
+}
+
+BOOST_AUTO_TEST_CASE(a_departure_binds_no_later_run_of_the_server) {
+  for (const auto start_time_ms : {std::uint64_t{0}, std::uint64_t{1000}}) {
+    const auto folder = test_folder();
+    WriteDeparture(folder, start_time_ms);
+    BOOST_TEST(
+        (AnnounceAfter(folder, seconds(9), MakeHeartbeat(start_time_ms, 2)) ==
+         announce_result::stale));
+    BOOST_TEST((AnnounceAfter(folder, seconds(9), MakeHeartbeat(2000, 1)) ==
+                announce_result::changed));
+    // As in memory: forgotten once no heartbeat can still be on its way.
+    BOOST_TEST(
+        (AnnounceAfter(folder, seconds(31), MakeHeartbeat(start_time_ms, 2)) ==
+         announce_result::changed));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
