Coordinators that start anew are told the limits that servers named

Cause: a gateway told a limit only if it differed from what any leader had announced last. A leader that had started anew lists none, so it granted no permit, no request went out, and no answer could correct it. Change: news is what the present source does not list; gateways and relays tell it what they know better, from whomever, until it is listed.

--- a/core/request_limit.cc
+++ b/core/request_limit.cc
@@ -17,6 +17,16 @@
          left.is_presumed == right.is_presumed;
 }
 
+auto WasNamed(const request_limit& limit) -> bool {
+  return limit.observed != mono_time();
+}
+
+auto IsNewsOfLimit(const request_limit& known, const request_limit& listed)
+    -> bool {
+  return WasNamed(known) && !known.is_presumed &&
+         known.observed > listed.observed && !IsSameStatement(known, listed);
+}
+
 auto GetRequestInterval(request_rate rate) -> duration {
   constexpr duration kThousandSeconds = std::chrono::seconds(1000);
   constexpr std::uint64_t kMinRate = 100;
--- a/core/request_limit.h
+++ b/core/request_limit.h
@@ -37,6 +37,14 @@
 auto IsSameStatement(const request_limit& left, const request_limit& right)
     -> bool;
 
+// Returns false if no server has said this, now or earlier.
+auto WasNamed(const request_limit& limit) -> bool;
+
+// Returns whether the daemon that lists `listed` should be told of `known`: a
+// server has said it since, and it is something else.
+auto IsNewsOfLimit(const request_limit& known, const request_limit& listed)
+    -> bool;
+
 // Returns the mean time between two requests at `rate`. A rate below one
 // request in 10 s counts as that much: only an answer shows that a limit is
 // over.
--- a/entry/server_permits.cc
+++ b/entry/server_permits.cc
@@ -302,6 +302,7 @@
 }
 
 auto server_permits::TakeReports(const in_flight_source& get_in_flight,
+                                 const listed_limit_source& get_listed,
                                  mono_time now) -> std::vector<permit_report> {
   auto reports = std::vector<permit_report>();
   for (auto& [id, server] : servers_) {
@@ -309,10 +310,10 @@
     auto report = permit_report();
     report.id = id;
     report.start_time_ms = server.start_time_ms;
-    const auto is_news = server.observed.observed > server.announced.observed &&
-                         !IsSameStatement(server.observed, server.announced);
-    if (is_news) {
-      report.news = server.observed;
+    // Coordinators that have started anew are told what their predecessors
+    // knew as well.
+    if (IsNewsOfLimit(GetLatest(server), get_listed(id))) {
+      report.news = GetLatest(server);
     }
     const auto left = static_cast<std::uint32_t>(server.expiries.size());
     report.waiting = server.waiting - std::min(server.waiting, left);
--- a/entry/server_permits.h
+++ b/entry/server_permits.h
@@ -96,6 +96,8 @@
  public:
   // Returns the requests in flight at a server.
   using in_flight_source = std::function<std::uint32_t(const backend_name&)>;
+  // Returns a server's limit as the coordinators list it now.
+  using listed_limit_source = std::function<request_limit(const backend_name&)>;
 
   // Time within which a permit has to be used.
   static constexpr duration kPermitLifetime = std::chrono::milliseconds(300);
@@ -174,8 +176,9 @@
   auto RemoveWaiting(const std::vector<backend_name>& servers) -> void;
 
   // Returns what the coordinators should know, and clears the counts in it.
-  auto TakeReports(const in_flight_source& get_in_flight, mono_time now)
-      -> std::vector<permit_report>;
+  auto TakeReports(const in_flight_source& get_in_flight,
+                   const listed_limit_source& get_listed,
+                   mono_time now) -> std::vector<permit_report>;
   // Returns the limits of all servers as last heard here or from others, and
   // those that ended within `max_age`.
   auto ListLimits(duration max_age, mono_time now) const
--- a/main/gateway_daemon_sync.cc
+++ b/main/gateway_daemon_sync.cc
@@ -62,7 +62,11 @@
   const auto get_in_flight = [this](const backend_name& id) {
     return selector_.GetOwnRequests(id);
   };
-  for (const auto& report : permits_.TakeReports(get_in_flight, now)) {
+  const auto get_listed = [this](const backend_name& id) {
+    return registry_.GetListedLimit(id);
+  };
+  for (const auto& report :
+       permits_.TakeReports(get_in_flight, get_listed, now)) {
     AddPermitRequest(request, report, registry_.get_index(), now);
   }
   const auto streams = origins_.TakeReport(now);
--- a/main/registry_replica.cc
+++ b/main/registry_replica.cc
@@ -1,5 +1,7 @@
 #include "main/registry_replica.h"
 
+#include <utility>
+
 #include "codec/site_codec.h"
 
 namespace ebony {
@@ -26,6 +28,28 @@
   return registry_.ObserveLeaving(id, start_time_ms);
 }
 
+auto registry_replica::GetListedLimit(const backend_name& id) const
+    -> request_limit {
+  const auto found = listed_limits_.find(id);
+  return found == listed_limits_.end() ? request_limit() : found->second;
+}
+
+auto registry_replica::ListUnlistedLimits() const
+    -> std::vector<permit_report> {
+  auto reports = std::vector<permit_report>();
+  for (const auto& [id, record] : registry_.get_records()) {
+    if (!record.has_left && index_.GetNumber(id) != 0 &&
+        IsNewsOfLimit(record.limit, GetListedLimit(id))) {
+      auto report = permit_report();
+      report.id = id;
+      report.start_time_ms = record.status.start_time_ms;
+      report.news = record.limit;
+      reports.push_back(std::move(report));
+    }
+  }
+  return reports;
+}
+
 auto registry_replica::ApplyAnswer(const schema::sync_answer& answer,
                                    mono_time now,
                                    const change_hook& on_change) -> bool {
@@ -34,6 +58,7 @@
     source_ = answer.roster_source();
     index_.Clear();
     listed_leaving_.clear();
+    listed_limits_.clear();
     source_since_ = now;
     // Servers announce themselves to the new leader only from now on, so
     // existing records must not expire before it has heard from them.
@@ -48,6 +73,11 @@
     } else {
       listed_leaving_.erase(record.status.id);
     }
+    if (WasNamed(record.limit)) {
+      listed_limits_[record.status.id] = record.limit;
+    } else {
+      listed_limits_.erase(record.status.id);
+    }
     if (registry_.Merge(record, now)) {
       on_change(*registry_.Find(record.status.id));
     }
--- a/main/registry_replica.h
+++ b/main/registry_replica.h
@@ -3,11 +3,14 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "core/backend_index.h"
 #include "core/backend_registry.h"
+#include "core/permit_report.h"
 #include "schema/site.pb.h"
 
 namespace ebony {
@@ -31,6 +34,8 @@
   mono_time source_since_;  // first answer of `source_`
   // Servers that `source_` lists as having said that they are about to stop.
   std::set<backend_name> listed_leaving_;
+  // The limits that `source_` lists; other servers have none there.
+  std::map<backend_name, request_limit> listed_limits_;
 
   // Suspects the records that `source_` has not listed, then removes them.
   auto ExpireUnlisted(mono_time now, const change_hook& on_change) -> void;
@@ -46,6 +51,12 @@
   // it.
   auto ObserveLeaving(const backend_name& id, std::uint64_t start_time_ms)
       -> bool;
+  // Returns the limit of a server as `source_` lists it, which may know less
+  // than an earlier one did.
+  auto GetListedLimit(const backend_name& id) const -> request_limit;
+  // Returns the limits that are known here, but not listed by `source_`, as
+  // reports that it should get.
+  auto ListUnlistedLimits() const -> std::vector<permit_report>;
   // Merges the departure of a server that an earlier run knew of.
   auto RestoreDeparture(const backend_record& record, mono_time now) -> void {
     registry_.Merge(record, now);
--- a/main/sync_relay.cc
+++ b/main/sync_relay.cc
@@ -191,6 +191,22 @@
   answer.set_config_age_ms(static_cast<std::uint32_t>(age + 1));
 }
 
+// A leader that has started anew is told the limits that its predecessors
+// knew.
+auto sync_relay::AddUnlistedLimits(std::vector<permit_report>& reports) const
+    -> void {
+  for (auto& unlisted : registry_.ListUnlistedLimits()) {
+    const auto found = std::find_if(
+        reports.begin(), reports.end(),
+        [&unlisted](const auto& item) { return item.id == unlisted.id; });
+    if (found == reports.end()) {
+      reports.push_back(std::move(unlisted));
+    } else if (!found->news) {
+      found->news = unlisted.news;
+    }
+  }
+}
+
 auto sync_relay::FillLeaderRequest(schema::sync_request& request, mono_time now)
     -> void {
   own_link_ = host_port(request.relay_link());
@@ -220,7 +236,9 @@
     request.add_unreachable(index.GetNumber(id));
   }
   has_unserved_demand_ = false;
-  for (const auto& report : permits_.TakeReports(now)) {
+  auto reports = permits_.TakeReports(now);
+  AddUnlistedLimits(reports);
+  for (const auto& report : reports) {
     AddPermitRequest(request, report, index, now);
   }
 }
--- a/main/sync_relay.h
+++ b/main/sync_relay.h
@@ -7,11 +7,13 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "control/load_totals.h"
 #include "control/permit_relay.h"
 #include "control/relay_shedder.h"
 #include "core/ids.h"
+#include "core/permit_report.h"
 #include "core/service_samples.h"
 #include "main/registry_replica.h"
 #include "main/software_replica.h"
@@ -75,6 +77,7 @@
   }
   // Returns the load of all gateways.
   auto GetTotalLoads() const -> load_report;
+  auto AddUnlistedLimits(std::vector<permit_report>& reports) const -> void;
   auto RecordLoads(const schema::sync_request& request, mono_time now) -> void;
   auto RecordDemands(const schema::sync_request& request) -> void;
 
--- a/tests/limit_harness.cc
+++ b/tests/limit_harness.cc
@@ -63,8 +63,13 @@
   return 1 - static_cast<double>(cut) / static_cast<double>(gateways_.size());
 }
 
+auto limit_site::TakeReports(gateway& item) -> std::vector<permit_report> {
+  return item.permits->TakeReports(
+      kNoneInFlight, [this](const backend_name&) { return registered_; }, now_);
+}
+
 auto limit_site::SyncWithLeader(gateway& item, std::size_t number) -> void {
-  const auto reports = item.permits->TakeReports(kNoneInFlight, now_);
+  const auto reports = TakeReports(item);
   if (!has_leader_ || item.is_cut) {
     return;
   }
@@ -87,7 +92,7 @@
 
 auto limit_site::SyncWithRelay(gateway& item, std::size_t number) -> void {
   auto& relay = relays_[number % relays_.size()];
-  const auto reports = item.permits->TakeReports(kNoneInFlight, now_);
+  const auto reports = TakeReports(item);
   if (!has_leader_ || item.is_cut) {
     return;
   }
@@ -177,6 +182,11 @@
   leader_.SetLimit({kServer, kStartTimeMs, 1, registered_}, now_);
 }
 
+auto limit_site::StartLeader(const request_limit& copy) -> void {
+  registered_ = copy;
+  StartLeader();
+}
+
 auto limit_site::RestartGateway(std::size_t number) -> void {
   auto& item = gateways_.at(number);
   item.permits = MakePermits();
--- a/tests/limit_harness.h
+++ b/tests/limit_harness.h
@@ -51,6 +51,7 @@
   request_limit registered_;
   std::vector<mono_time> sent_;
 
+  auto TakeReports(gateway& item) -> std::vector<permit_report>;
   auto IsDrawn(double probability) -> bool;
   auto MakePermits() -> std::unique_ptr<server_permits>;
   auto LearnLimit(const permit_report& report) -> void;
@@ -72,6 +73,8 @@
   // The present leader stops. `StartLeader` starts one that knows no permits.
   auto StopLeader() -> void { has_leader_ = false; }
   auto StartLeader() -> void;
+  // The same, with what its copy of the registry says of the limit.
+  auto StartLeader(const request_limit& copy) -> void;
   auto CutOff(std::size_t number, bool is_cut) -> void {
     gateways_.at(number).is_cut = is_cut;
   }
@@ -84,6 +87,8 @@
   auto GetRate(mono_time since) const -> double;
   // Returns true once the leader knows the limit.
   auto IsRegistered() const -> bool { return registered_.rate.has_value(); }
+  // What the leader lists of the server's limit.
+  auto get_registered() const -> const request_limit& { return registered_; }
   auto get_now() const -> mono_time { return now_; }
 };
 
--- a/tests/limit_sharing_test.cc
+++ b/tests/limit_sharing_test.cc
@@ -106,6 +106,48 @@
   }
 }
 
+// RECOVER: once all coordinators had started anew, no request got a permit any
+// more, since nobody told them the limit again.
+BOOST_AUTO_TEST_CASE(coordinators_that_start_anew_are_told_the_limit) {
+  for (const auto relays : {std::size_t{0}, std::size_t{2}}) {
+    auto options = limit_site_options();
+    options.limit = 20;
+    options.relays = relays;
+    auto site = MakeLimitedSite(options);
+    site.StopLeader();
+    site.RunFor(seconds(1));
+    site.StartLeader(request_limit());
+    site.RunFor(seconds(2));
+    const auto since = site.get_now();
+    site.RunFor(seconds(10));
+    CheckUsed(site, options.limit, since);
+    CheckNeverPassed(site, options.limit, since);
+  }
+}
+
+// LIMIT: the server lowered its limit, and a leader with an older copy of the
+// registry took over.
+BOOST_AUTO_TEST_CASE(a_lowered_limit_outlives_the_leader_that_was_told) {
+  for (auto seed = 1U; seed <= 5; ++seed) {
+    auto options = limit_site_options();
+    options.limit = 30;
+    options.demand = 2;
+    options.seed = seed;
+    auto site = MakeLimitedSite(options);
+    const auto former = site.get_registered();
+    constexpr auto kLowered = 3.0;
+    site.NameLimit(kLowered);
+    site.RunFor(std::chrono::milliseconds(500));
+    site.StopLeader();
+    site.StartLeader(former);
+    site.RunFor(seconds(2));
+    const auto since = site.get_now();
+    site.RunFor(seconds(20));
+    CheckNeverPassed(site, kLowered, since);
+    CheckUsed(site, kLowered, since);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(quick_changes_of_the_leader_do_not_pass_a_limit) {
   for (auto seed = 1U; seed <= 5; ++seed) {
     auto options = limit_site_options();
--- a/tests/slot_harness.cc
+++ b/tests/slot_harness.cc
@@ -223,6 +223,12 @@
       [&item](const backend_name& id) {
         return item.selector->GetOwnRequests(id);
       },
+      [this, &item](const backend_name& id) {
+        const auto* record = registry_.Find(id);
+        const auto is_listed =
+            record != nullptr && record->revision <= item.known_revision;
+        return is_listed ? record->limit : request_limit();
+      },
       now_);
   auto granted = permit_counts();
   if (relays_.empty()) {
--- a/tests/sync_relay_test.cc
+++ b/tests/sync_relay_test.cc
@@ -249,6 +249,30 @@
              registry.get_revision());
 }
 
+// RECOVER: a leader that had started anew was not told which servers limit
+// their requests, and so granted no permits.
+BOOST_AUTO_TEST_CASE(a_new_leader_is_told_the_limits_of_the_one_before) {
+  const auto id = backend_name("i-2");
+  auto limit = request_limit();
+  limit.rate = request_rate(20000);
+  limit.observed = now;
+  registry.ObserveLimit(id, registry.Find(id)->status.start_time_ms, limit);
+  SyncWithLeader();
+  BOOST_TEST(SyncWithLeader().permit_requests_size() == 0);
+  // Its registry has the server, but not what it said.
+  registry = backend_registry(backend_registry_options());
+  Announce("i-1", 10);
+  Announce("i-2", 10);
+  source = "other/2";
+  SyncWithLeader();
+  const auto told = SyncWithLeader();
+  BOOST_REQUIRE(told.permit_requests_size() == 1);
+  BOOST_TEST(told.permit_requests(0).news().rate() == 20000U);
+  registry.ObserveLimit(id, registry.Find(id)->status.start_time_ms, limit);
+  SyncWithLeader();
+  BOOST_TEST(SyncWithLeader().permit_requests_size() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(a_new_leader_resets_the_revisions_sent) {
   SyncWithLeader();
   auto replica = registry_replica();
