An unanswered order for an adapter keeps its server from the next one for 0.4 s

Cause: after an order without an answer the leader asked that server nothing for 2.3 s; at the only server of a model its adapters stood behind one another. Ruled out: a rule or a lease that forbade the orders (order_unanswered shows them sent, one at a time), a lack of places for adapters. Change: an adapter's order is given up after 0.3 s and asked for again 0.1 s later. Late copies are refused, as they expect an older number of orders. Evidence: the test sees 2 orders in 4 s before, 4 after.

--- a/main/order_executor.cc
+++ b/main/order_executor.cc
@@ -13,9 +13,14 @@
 // Time limit of a connection attempt that checks whether a server is reachable.
 constexpr duration kReachabilityTimeout = std::chrono::milliseconds(500);
 constexpr duration kOrderTimeout = std::chrono::milliseconds(800);
+// The same for an adapter's order, which a server answers at once. A late copy
+// of it is refused, since it expects a number of orders that is out of date.
+constexpr duration kAdapterOrderTimeout = std::chrono::milliseconds(300);
 constexpr duration kReportTimeout = std::chrono::milliseconds(800);
 // Time without calls to a backend server after one that it did not answer.
 constexpr duration kUnansweredBackoff = std::chrono::milliseconds(1500);
+// The same after an adapter's order, which makes no server busy.
+constexpr duration kAdapterOrderBackoff = std::chrono::milliseconds(100);
 // The same after a failed report, a rejected order, or an order that loads or
 // unloads a whole model.
 constexpr duration kRejectedBackoff = std::chrono::milliseconds(400);
@@ -37,6 +42,10 @@
   return count;
 }
 
+auto IsAdapterOrder(const model_order& order) -> bool {
+  return !order.adapter.get().empty();
+}
+
 auto ApplyAdapter(std::vector<loaded_model>& held, const model_order& order)
     -> void {
   for (auto& model : held) {
@@ -261,7 +270,9 @@
   state.call =
       pool_.Start(status.address, platform::RenderPlacementCall(call, status),
                   false, options, std::move(hooks));
-  state.timeout = loop_.AddTimerIn(kOrderTimeout, [this, id, order] {
+  const auto timeout =
+      IsAdapterOrder(order) ? kAdapterOrderTimeout : kOrderTimeout;
+  state.timeout = loop_.AddTimerIn(timeout, [this, id, order] {
     if (server_states_[id].call != nullptr) {
       server_states_[id].call->Cancel();
     }
@@ -354,7 +365,8 @@
 auto order_executor::OnOrderUnanswered(const backend_name& id,
                                        const model_order& order) -> void {
   EndCall(id);
-  InvalidateReport(id, kUnansweredBackoff);
+  InvalidateReport(
+      id, IsAdapterOrder(order) ? kAdapterOrderBackoff : kUnansweredBackoff);
   metrics_.Count("ebony_orders_unanswered_total");
   log_.Write(event_category::state, "order_unanswered",
              {{"backend", id.get()},
--- a/tests/order_calls_test.cc
+++ b/tests/order_calls_test.cc
@@ -40,6 +40,7 @@
   int orders = 0;
   std::string report_status = "200";
   std::string order_status = "200";
+  bool answers_orders = true;
   std::vector<std::shared_ptr<stream_socket>> sockets;
   stream_acceptor acceptor;
 
@@ -57,6 +58,9 @@
     hooks.on_bytes = [this, socket, repeated](std::string_view bytes) {
       const auto is_order = bytes.starts_with("POST");
       orders += is_order ? 1 : 0;
+      if (is_order && !answers_orders) {
+        return;
+      }
       const auto answer = MakeReport(calls++ == 0, "m",
                                      is_order ? order_status : report_status);
       socket->Send(*repeated + answer);
@@ -215,6 +219,33 @@
   }
 }
 
+// SHORT: while servers left most orders unanswered, each order for an adapter
+// kept its server from the next one for 2.3 s, and adapters that only this
+// server could get were never served.
+BOOST_AUTO_TEST_CASE(an_unanswered_order_for_an_adapter_holds_up_no_server) {
+  constexpr auto kTries = 4;
+  auto leader = ordering_leader();
+  AddModels(leader);
+  auto& engine = *leader.config.services[service_name("e")].engine;
+  engine.models.front().adapters = 1;
+  leader.server.answers_orders = false;
+  auto demand = schema::demand_row();
+  demand.set_model("m");
+  demand.set_adapter("a1");
+  demand.set_arrived(5);
+  demand.set_refused(5);
+  RepeatEvery(leader.loop, milliseconds(20), [&] {
+    leader.orders.RecordDemand(demand);
+    leader.orders.Tick(leader.config);
+  });
+  const auto has_tried = [&leader] { return leader.server.orders >= 1; };
+  leader.RunFor(std::chrono::seconds(4), has_tried);
+  BOOST_REQUIRE(has_tried());
+  leader.RunFor(std::chrono::seconds(4),
+                [&leader] { return leader.server.orders >= kTries; });
+  BOOST_TEST(leader.server.orders >= kTries);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
