--- a/drivers/fact_journal.cc
+++ b/drivers/fact_journal.cc
@@ -120,7 +120,25 @@
   return contents;
 }
 
+// The thread starts with the first write: most runs write nothing.
+auto fact_journal::StartWriter() -> bool {
+  if (is_thread_started_) {
+    return true;
+  }
+  try {
+    writer_.Start();
+    is_thread_started_ = true;
+  } catch (const ebony_error& error) {
+    const auto lock = std::lock_guard(mutex_);
+    failure_ = error.what();
+  }
+  return is_thread_started_;
+}
+
 auto fact_journal::Enqueue(const std::string& payload, bool rotates) -> bool {
+  if (!StartWriter()) {
+    return false;
+  }
   {
     const auto lock = std::lock_guard(mutex_);
     const auto file_bytes = payload.size() + (rotates ? 0 : current_bytes_);
@@ -133,9 +151,6 @@
     jobs_.push_back({payload, rotates});
   }
   changed_.notify_all();
-  if (!std::exchange(is_thread_started_, true)) {
-    writer_.Start();
-  }
   return true;
 }
 
--- a/drivers/fact_journal.h
+++ b/drivers/fact_journal.h
@@ -36,7 +36,7 @@
     std::string folder;  // must exist
     // Bytes of one file, and of what waits to be written, beyond which nothing
     // is accepted.
-    std::uint64_t max_file_bytes = std::uint64_t{8} * 1024 * 1024;
+    std::uint64_t max_file_bytes = std::uint64_t{16} * 1024 * 1024;
     std::uint64_t max_queued_bytes = std::uint64_t{1} * 1024 * 1024;
     disk_write write = ::write;
   };
@@ -72,6 +72,7 @@
   auto TakeFrame(std::size_t file,
                  std::string payload,
                  journal_contents& contents) -> void;
+  auto StartWriter() -> bool;
   auto Enqueue(const std::string& payload, bool rotates) -> bool;
   auto RunWriter() -> void;
   auto WriteJob(const job& item) -> void;
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -311,12 +311,15 @@
 }
 
 // Only where a service has several software versions does the origin of a
-// stream have to outlive this leader.
+// stream have to outlive this leader. Relays know the streams of their gateways
+// themselves, so that nothing has to be passed on.
 auto coordinator_daemon::FillStreamCopies(const schema::sync_request& request,
                                           schema::sync_answer& reply) -> void {
   const auto services = software_.GetMixedServices();
   const auto source = GetStreamSource(registry_epoch_, services);
-  if (source == 0 || !IsStreamKeeper(vm_name(request.vm()))) {
+  const auto has_relays =
+      reply.gateway_count() > sync_relay::kMaxDirectGateways;
+  if (source == 0 || has_relays || !IsStreamKeeper(vm_name(request.vm()))) {
     return;
   }
   auto revision =
--- a/tests/durable_facts_test.cc
+++ b/tests/durable_facts_test.cc
@@ -271,6 +271,26 @@
   BOOST_TEST(ListStreams(site.Sync(MakeFollowerSync("core-4"))).size() == 2U);
 }
 
+// Their gateways tell them, so that the leader need not.
+BOOST_AUTO_TEST_CASE(relays_are_sent_no_copies) {
+  auto site = coordinator_harness();
+  site.AwaitLeadership();
+  site.Announce({"a"}, "v1");
+  site.Announce({"b"}, "v2");
+  site.RunFor(milliseconds(200));
+  site.Sync(MakeBegunReport(7));
+  BOOST_TEST(site.Sync(MakeFollowerSync("core-2")).origins_size() == 1);
+  auto relay = MakeFollowerSync("core-2");
+  for (auto i = 0; i < 30; ++i) {
+    auto* row = relay.add_relayed();
+    row->set_vm("edge-" + std::to_string(100 + i));
+    row->set_caller_address("127.0.0.1:4");
+    row->set_ready(true);
+  }
+  site.Sync(relay);
+  BOOST_TEST(site.Sync(relay).origins().empty());
+}
+
 // A follower of an earlier build does not ask for copies.
 BOOST_AUTO_TEST_CASE(a_follower_that_keeps_nothing_is_sent_nothing) {
   auto site = coordinator_harness();
--- a/tools/ebony_bench.cc
+++ b/tools/ebony_bench.cc
@@ -387,6 +387,31 @@
   std::printf("report of 100 streams %zu B\n", row.ByteSizeLong());
 }
 
+// The work of a coordinator for the streams that it writes to its journal in
+// one batch, or passes on to one follower.
+auto MeasureStreamCopySlopes() -> void {
+  auto cost = std::vector<sample>();
+  const auto service = service_name("s");
+  const auto origin = stream_origin{service, software_version("v1")};
+  for (const auto streams : {10U, 100U, 1000U, 4000U}) {
+    auto table = stream_origin_table();
+    for (auto i = std::uint64_t{0}; i < streams; ++i) {
+      table.Add(stream_key(i * 0x9E3779B97F4A7C15ULL), origin, mono_time());
+    }
+    cost.push_back({static_cast<double>(streams), MeasureUs(100, [&] {
+                      auto revision = std::uint64_t{0};
+                      auto batch = schema::fact_batch();
+                      const auto list =
+                          table.ListSince(revision, {service}, streams);
+                      for (const auto& [item, keys] : list) {
+                        AddBegunStreams(*batch.add_streams(), item, keys);
+                      }
+                      static_cast<void>(batch.SerializeAsString());
+                    })});
+  }
+  PrintFit("streams listed and encoded, us", "us", cost, 4000);
+}
+
 // The work and memory for each key whose crashes a daemon keeps a record of,
 // and for each request that is checked.
 auto MeasureCrashSlopes() -> void {
@@ -534,6 +559,7 @@
   ebony::MeasureClaimSlopes();
   ebony::MeasurePermitSlopes();
   ebony::MeasureOriginSlopes();
+  ebony::MeasureStreamCopySlopes();
   ebony::MeasureCrashSlopes();
   ebony::MeasurePeerSlopes();
   ebony::MeasureMessages();
