--- a/tests/fact_journal_test.cc
+++ b/tests/fact_journal_test.cc
@@ -79,6 +79,14 @@
   }
   BOOST_TEST(Read(folder) ==
              (std::vector<std::string>{"four", "three", "two"}));
+  // The other file is the newest one now.
+  {
+    auto journal = fact_journal(MakeOptions(folder));
+    journal.Load();
+    journal.Append("five");
+    journal.Rotate("six");
+  }
+  BOOST_TEST(Read(folder) == (std::vector<std::string>{"five", "four", "six"}));
 }
 
 // Power was lost during a write, or the file is not one of this system.
