Review case 12: a late departure ends the next start of a server

Promise: CONFIG, routes that were added later are served as the first ones are in steady state.

Order of events: a server drains and deregisters while the coordinator that it calls first is frozen; the next one acknowledges. The server starts again under its id and is announced. The frozen coordinator wakes and passes the first call on, and the leader takes it for a departure of the new start.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs the case; TROUBLE=0 runs it without the disruption.
 cd "$(dirname "$0")" || exit 2
-program=../../target/review-3/joined_versions
+program=../../target/review-3/late_leave
 [ -x "$program" ] || exit 2
 TROUBLE=${TROUBLE:-1} exec "$program"
