--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for source in review/standins-3/*.cc; do
-  name=$(basename "$source" .cc)
+for source in review/standins-3/*.cpp; do
+  name=$(basename "$source" .cpp)
   g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review-3/$name" "$source"
 done
