--- a/review/standins-3/no_seeds.cpp
+++ b/review/standins-3/no_seeds.cpp
@@ -1,5 +1,6 @@
-// All machines lose power. The gateways are back before any process serves
-// control, so that their settings name no seeds; these come a few seconds later.
+// All processes are killed. The coordinators are back after 0.8 s, the gateways
+// after 3.3 s. The list of seeds lags by 3 s, so that the gateways' settings show
+// the moment at which nothing served control; the seeds come 3 s later.
 #include "site.hpp"
 
 using namespace review;
@@ -7,6 +8,9 @@
 namespace {
 
 constexpr int kRecoverMs = 12000;
+constexpr int kSeedLagMs = 3000;
+constexpr int kCoreDownMs = 800;
+constexpr int kIntoOutageMs = 300;
 constexpr int kRequestsAfter = 20;
 
 auto MakeConfig() -> std::string {
@@ -71,27 +75,27 @@
   if (before < 20) {
     return kCannotRun;
   }
-  Record("all machines lose power");
+  Record("all processes are killed");
   for (auto* list : {&place.gateways, &place.coordinators}) {
     for (auto& item : *list) {
       item.Kill();
     }
   }
-  Sleep(1000);
-  // No process serves control now, and the operator's list says so.
-  for (auto& item : place.gateways) {
-    place.Start(item, false, HasTrouble() ? std::string() : place.GetSeeds());
-  }
-  Sleep(2000);
+  Sleep(kCoreDownMs);
   for (auto& item : place.coordinators) {
     place.Start(item, false);
   }
-  Sleep(3000);
+  Sleep(kSeedLagMs + kIntoOutageMs - kCoreDownMs);
+  // The operator's list is that of kIntoOutageMs after the kill.
+  for (auto& item : place.gateways) {
+    place.Start(item, false, HasTrouble() ? std::string() : place.GetSeeds());
+  }
+  Sleep(kSeedLagMs);
   for (auto& item : place.gateways) {
     place.WriteSettings(item, false, place.GetSeeds());
     item.Signal(SIGHUP);
   }
-  Record("the settings name three seeds again; all machines are back");
+  Record("the settings name three seeds");
   Sleep(kRecoverMs);
   const auto after = CountServed(place, "after-", kRequestsAfter);
   Record("%d of %d served more than %d s after the machines were back", after,
