--- a/review/standins-3/no_seeds.cpp
+++ b/review/standins-3/no_seeds.cpp
@@ -13,8 +13,8 @@
 constexpr int kIntoOutageMs = 300;
 constexpr int kRequestsAfter = 20;
 
-auto MakeConfig() -> std::string {
-  return R"({"version":7,"routes":[{"name":"r","host":"h.example",)"
+auto MakeConfig(int version) -> std::string {
+  return R"({"version":)" + std::to_string(version) + R"(,"routes":[{"name":"r","host":"h.example",)"
          R"("pathPrefix":"/i/","kind":"idempotent","timeoutMs":1500,)"
          R"("targetLatencyMs":300,"priority":1,"service":"s",)"
          R"("maxAttempts":2}],"services":[{"name":"s",)"
@@ -66,7 +66,7 @@
     return kCannotRun;
   }
   beats.Run(1200);
-  if (!place.PutConfig(MakeConfig()) || !place.AwaitReady(15000)) {
+  if (!place.PutConfig(MakeConfig(7)) || !place.AwaitReady(15000)) {
     return kCannotRun;
   }
   Sleep(4000);
@@ -75,6 +75,9 @@
   if (before < 20) {
     return kCannotRun;
   }
+  if (!place.PutConfig(MakeConfig(8))) {
+    return kCannotRun;
+  }
   Record("all processes are killed");
   for (auto* list : {&place.gateways, &place.coordinators}) {
     for (auto& item : *list) {
