A lost voter is replaced by joint agreement, and leaves a group of any size

Cause: the successor became the fourth voter, and the planner removed a lost voter only from more than five, or if its own VM was back. Three of four had to agree; the lost disk left two. Ruled out: the raft log and the join path; the successor voted and had all entries (group_changed, voters 4, none after it).

Change: a voter is swapped for a learner in two entries, between which the voters with and without the change both have to agree (voter_swap, consensus/quorum). The number of voters is kept odd; a lost one leaves an even number, two lost ones leave together down to twice the tolerated losses and one. Learners get committed entries only. Builds that don't know swaps say nothing in their replies, and get the earlier two changes. ebony_control replaces voters in the same way. ebony_control_losses_borne and the line losses_borne say what the group bears.

Why it works: docs/PROOF.md, "Who may decide": quorums of consecutive memberships share a node (quorum_rules tries all), and the voters that are left can end each replacement by themselves.

Found on the way by draws and spin, each with a test and a mutation: a second loss between add and remove (either order) left none for good; a new identity took another VM's place; spare learners grew the group while a voter was missing; a learner ahead of the voters refused its vote; a new leader took members that it had not heard of for an earlier build, or ended a swap by removing the one at work.

--- a/codec/link_codec.cc
+++ b/codec/link_codec.cc
@@ -55,6 +55,10 @@
   for (const auto& id : group.learners) {
     message.add_learners(id.get());
   }
+  if (group.swap) {
+    message.set_joining(group.swap->joining.get());
+    message.set_leaving(group.swap->leaving.get());
+  }
   return message;
 }
 
@@ -66,6 +70,9 @@
   for (const auto& id : message.learners()) {
     group.learners.emplace_back(id);
   }
+  if (!message.joining().empty()) {
+    group.swap = {node_id(message.joining()), node_id(message.leaving())};
+  }
   return group;
 }
 
@@ -120,6 +127,7 @@
   message.set_commit(value.commit.get());
   message.set_round(value.round);
   message.set_granted(value.granted);
+  message.set_supports_swaps(value.supports_swaps);
   AppendToSchema(value.entries, message.mutable_entries());
   if (value.snap) {
     *message.mutable_snap() = ToSchema(*value.snap);
@@ -138,6 +146,7 @@
   value.commit = log_index(message.commit());
   value.round = message.round();
   value.granted = message.granted();
+  value.supports_swaps = message.supports_swaps();
   for (const auto& entry : message.entries()) {
     value.entries.push_back(ToDomain(entry));
   }
--- a/consensus/membership_planner.h
+++ b/consensus/membership_planner.h
@@ -12,7 +12,11 @@
 struct membership_plan_options {
   // Number of voters of a complete group. Further members stay learners.
   std::size_t voter_target = 5;
-  // A voter that has not replied for this long is replaced by a learner.
+  // Losses at the same time that the group should bear. A group that loses
+  // voters for which there is no replacement shrinks to no fewer voters than
+  // that takes.
+  std::size_t tolerated_losses = 1;
+  // A voter that has not replied for this long counts as lost.
   duration replace_voter_after = std::chrono::milliseconds(6000);
   // A learner that has not replied for this long is removed.
   duration remove_learner_after = std::chrono::milliseconds(15000);
@@ -24,11 +28,17 @@
   member_status members;
 };
 
-// Returns the next membership change, or std::nullopt when none is needed. Each
-// change adds, removes or promotes one member. A replacement is added before
-// the lost member is removed, so the number of working voters never decreases.
-// A new identity on a known VM replaces the previous identity of that VM, whose
-// disk is lost.
+// Returns the next membership change, or std::nullopt when none is needed.
+//
+// - A lost voter is replaced by a learner that has the log, by that of its own
+//   VM if there is one: a new identity of a VM shows that its disk is lost.
+// - A lost voter without a replacement is removed where the others need one
+//   agreeing voter less without it: from an even number of voters, or together
+//   with a second lost one.
+// - The number of voters is odd, up to the target: an additional voter that
+//   makes it even could only be lost, and saves nothing.
+//
+// docs/PROOF.md has the argument for each step.
 auto PlanMembership(const membership& group,
                     const node_id& self,
                     const group_status& status,
--- a/consensus/raft.cc
+++ b/consensus/raft.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "consensus/quorum.h"
+
 namespace ebony {
 
 namespace {
@@ -14,19 +16,6 @@
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-// Counts the ids that are in exactly one of the two voter lists.
-auto CountVoterDifference(const membership& left, const membership& right)
-    -> std::size_t {
-  auto count = std::size_t{0};
-  for (const auto& id : left.voters) {
-    count += Contains(right.voters, id) ? 0 : 1;
-  }
-  for (const auto& id : right.voters) {
-    count += Contains(left.voters, id) ? 0 : 1;
-  }
-  return count;
-}
-
 }  // namespace
 
 raft::raft(raft_options options,
@@ -54,12 +43,9 @@
   return Contains(log_.get_group().voters, id);
 }
 
-auto raft::HasQuorum(const std::set<node_id>& ids) const -> bool {
-  const auto& voters = log_.get_group().voters;
-  const auto count =
-      std::count_if(voters.begin(), voters.end(),
-                    [&ids](const node_id& id) { return ids.contains(id); });
-  return static_cast<std::size_t>(count) * 2 > voters.size();
+auto raft::HasQuorumOf(const std::set<node_id>& ids) const -> bool {
+  return HasQuorum(log_.get_group(),
+                   [&ids](const node_id& id) { return ids.contains(id); });
 }
 
 auto raft::ResetElectionTimer() -> void {
@@ -102,7 +88,7 @@
   leader_ = node_id();
   votes_ = {options_.self};
   ResetElectionTimer();
-  if (HasQuorum(votes_)) {
+  if (HasQuorumOf(votes_)) {
     StartElection();
     return;
   }
@@ -116,7 +102,7 @@
   hard_.voted_for = options_.self;
   votes_ = {options_.self};
   ResetElectionTimer();
-  if (HasQuorum(votes_)) {
+  if (HasQuorumOf(votes_)) {
     BecomeLeader();
     return;
   }
@@ -197,8 +183,11 @@
   message.log_term = *previous_term;
   message.commit = commit_;
   message.round = round_;
-  message.entries = log_.get_range(previous, log_.get_last_index(),
-                                   options_.max_entries_per_append);
+  // A learner gets committed entries only: with a longer log than the voters
+  // that are left, it could not vote for one of them once it has joined.
+  const auto last = IsVoter(to) ? log_.get_last_index() : commit_;
+  message.entries =
+      log_.get_range(previous, last, options_.max_entries_per_append);
   if (message.entries.empty() && !heartbeat) {
     return;
   }
@@ -227,21 +216,14 @@
 }
 
 auto raft::AdvanceCommit() -> void {
-  auto matches = std::vector<log_index>();
-  for (const auto& id : log_.get_group().voters) {
-    const auto peer = progress_.find(id);
-    if (id == options_.self) {
-      matches.push_back(stable_);
-    } else {
-      matches.push_back(peer == progress_.end() ? log_index()
-                                                : peer->second.match);
-    }
-  }
-  if (matches.empty()) {
-    return;
-  }
-  std::sort(matches.begin(), matches.end());
-  const auto quorum_index = matches[(matches.size() - 1) / 2];
+  const auto quorum_index =
+      log_index(GetQuorumValue(log_.get_group(), [this](const node_id& id) {
+        const auto peer = progress_.find(id);
+        if (id == options_.self) {
+          return stable_.get();
+        }
+        return peer == progress_.end() ? 0 : peer->second.match.get();
+      }));
   if (quorum_index <= commit_ || log_.get_term(quorum_index) != hard_.term) {
     return;
   }
@@ -256,11 +238,17 @@
       reachable.insert(id);
     }
   }
-  if (!HasQuorum(reachable)) {
+  if (!HasQuorumOf(reachable)) {
     BecomeFollower(hard_.term, node_id());
   }
 }
 
+auto raft::StepDownIfRemoved() -> void {
+  if (!IsVoter(options_.self) && log_.get_group_index() <= commit_) {
+    StepDown();
+  }
+}
+
 auto raft::Reply(const raft_message& request, message_kind kind)
     -> raft_message {
   auto reply = raft_message();
@@ -269,6 +257,7 @@
   reply.to = request.from;
   reply.term = hard_.term;
   reply.round = request.round;
+  reply.supports_swaps = true;
   return reply;
 }
 
@@ -324,7 +313,7 @@
     return;
   }
   votes_.insert(reply.from);
-  if (!HasQuorum(votes_)) {
+  if (!HasQuorumOf(votes_)) {
     return;
   }
   if (role_ == raft_role::pre_candidate) {
@@ -387,7 +376,7 @@
       vouching.insert(id);
     }
   }
-  return HasQuorum(vouching);
+  return HasQuorumOf(vouching);
 }
 
 auto raft::OnAppendReply(const raft_message& reply) -> void {
@@ -397,6 +386,7 @@
   }
   auto& peer = found->second;
   peer.last_reply = now_;
+  peer.supports_swaps = reply.supports_swaps;
   RecordVouch(peer, reply.round);
   if (!reply.granted) {
     // A delayed rejection must not move `next` below the entries that the peer
@@ -441,6 +431,7 @@
   now_ = std::max(now_, now);
   if (role_ == raft_role::leader) {
     CheckQuorum();
+    StepDownIfRemoved();
   }
   if (role_ == raft_role::leader) {
     if (now_ >= next_heartbeat_) {
@@ -528,8 +519,7 @@
   if (log_.get_group_index() > commit_) {
     return std::nullopt;  // One change at a time.
   }
-  if (group.voters.empty() ||
-      CountVoterDifference(log_.get_group(), group) > 1) {
+  if (!IsAllowedChange(log_.get_group(), group)) {
     return std::nullopt;
   }
   auto entry = log_entry();
@@ -601,20 +591,16 @@
 }
 
 auto raft::get_confirmed_round() const -> std::uint64_t {
-  auto rounds = std::vector<std::uint64_t>();
-  for (const auto& id : log_.get_group().voters) {
+  if (role_ != raft_role::leader) {
+    return 0;
+  }
+  return GetQuorumValue(log_.get_group(), [this](const node_id& id) {
     const auto peer = progress_.find(id);
     if (id == options_.self) {
-      rounds.push_back(round_);
-    } else {
-      rounds.push_back(peer == progress_.end() ? 0 : peer->second.acked_round);
+      return round_;
     }
-  }
-  if (rounds.empty() || role_ != raft_role::leader) {
-    return 0;
-  }
-  std::sort(rounds.begin(), rounds.end());
-  return rounds[(rounds.size() - 1) / 2];
+    return peer == progress_.end() ? 0 : peer->second.acked_round;
+  });
 }
 
 auto raft::IsCaughtUp(const node_id& id) const -> bool {
@@ -622,6 +608,14 @@
   return peer != progress_.end() && peer->second.match >= commit_;
 }
 
+auto raft::SupportsSwaps(const node_id& id) const -> std::optional<bool> {
+  if (id == options_.self) {
+    return true;
+  }
+  const auto peer = progress_.find(id);
+  return peer == progress_.end() ? std::nullopt : peer->second.supports_swaps;
+}
+
 auto raft::GetTimeSinceReply(const node_id& id) const -> duration {
   const auto peer = progress_.find(id);
   return peer == progress_.end() ? duration::max()
--- a/consensus/raft.h
+++ b/consensus/raft.h
@@ -30,8 +30,9 @@
 // The Raft protocol of one voter or learner: leader election with pre-vote and
 // check-quorum, log replication, snapshots, learners, and changes of one voter
 // at a time. It uses no thread, socket, file or clock: the caller passes the
-// time in and performs the work that `TakeReady` returns.
-// Source: Ongaro, "Consensus: Bridging Theory and Practice", 2014.
+// time in and performs the work that `TakeReady` returns. A voter is replaced
+// by another one in two changes, between which both sets of voters have to
+// agree. Source: Ongaro, "Consensus: Bridging Theory and Practice", 2014.
 class raft {
  public:
   // Returns a number in [0, bound).
@@ -46,7 +47,8 @@
     // When the newest round was sent that the peer has replied to. The peer
     // accepted this leader at that time or later.
     mono_time vouched_at;
-    bool is_snapshot_sent = false;  // and not yet acknowledged
+    std::optional<bool> supports_swaps;  // as its last reply says
+    bool is_snapshot_sent = false;       // and not yet acknowledged
     mono_time snapshot_sent_at;
   };
 
@@ -75,7 +77,7 @@
   mono_time leader_since_;
 
   auto IsVoter(const node_id& id) const -> bool;
-  auto HasQuorum(const std::set<node_id>& ids) const -> bool;
+  auto HasQuorumOf(const std::set<node_id>& ids) const -> bool;
   auto ResetElectionTimer() -> void;
   auto BecomeFollower(term_number term, const node_id& leader) -> void;
   auto StartPreVote() -> void;
@@ -89,6 +91,8 @@
   auto BroadcastAppend() -> void;
   auto AdvanceCommit() -> void;
   auto CheckQuorum() -> void;
+  // Ends the leadership of a node whose removal is committed.
+  auto StepDownIfRemoved() -> void;
   auto SyncProgressWithGroup() -> void;
   auto AppendLocal(log_entry entry) -> log_index;
   auto Reply(const raft_message& request, message_kind kind) -> raft_message;
@@ -116,8 +120,8 @@
   // not the leader.
   auto Propose(const std::string& payload) -> std::optional<log_index>;
   // Appends a membership change and returns its index. Returns std::nullopt if
-  // this node is not a ready leader, if an earlier change is uncommitted, if
-  // `group` has no voters or if more than one voter differs.
+  // this node is not a ready leader, if an earlier change is uncommitted, or if
+  // `IsAllowedChange` says so.
   auto ProposeMembership(const membership& group) -> std::optional<log_index>;
   // Replaces the log up to `index`, or up to the last applied entry if that is
   // lower, by a snapshot with the encoded state machine `state`.
@@ -157,6 +161,9 @@
   // Returns true if the member's log contains every committed entry. Known only
   // on the leader.
   auto IsCaughtUp(const node_id& id) const -> bool;
+  // Returns whether the member's build knows `voter_swap`, or std::nullopt if
+  // it has not replied to this leader.
+  auto SupportsSwaps(const node_id& id) const -> std::optional<bool>;
   // Returns the time since a member last replied to this leader, or since it
   // was added. Returns duration::max() if `id` is no other member or this node
   // is not the leader.
--- a/consensus/raft_types.h
+++ b/consensus/raft_types.h
@@ -12,10 +12,23 @@
 
 enum class entry_kind { command, membership, barrier };
 
-// The voters and learners of the control group.
+// A replacement of one voter by another that has begun and is not complete.
+// Until it is, a decision needs a majority of the voters without `joining` and
+// a majority of those without `leaving` (joint consensus).
+// Source: Ongaro, "Consensus: Bridging Theory and Practice", 2014, 4.3.
+struct voter_swap {
+  node_id joining;
+  node_id leaving;
+
+  auto operator==(const voter_swap&) const -> bool = default;
+};
+
+// The voters and learners of the control group. During a swap both of its nodes
+// are among the voters.
 struct membership {
   std::vector<node_id> voters;
   std::vector<node_id> learners;
+  std::optional<voter_swap> swap = {};
 
   auto operator==(const membership&) const -> bool = default;
 };
@@ -68,6 +81,7 @@
   log_index commit;
   std::uint64_t round = 0;  // heartbeat round, echoed in the reply
   bool granted = false;
+  bool supports_swaps = false;  // the sender's build knows `voter_swap`
   std::vector<log_entry> entries;
   std::optional<snapshot> snap;
 };
--- a/main/control_daemon.h
+++ b/main/control_daemon.h
@@ -134,6 +134,7 @@
   auto DescribeRejection(const pending_change& change) const -> std::string;
   auto SendOrders(mono_time now) -> void;
   auto PlanMembershipChange() -> void;
+  auto ProposeMembership(const membership& next, const node_id& joiner) -> void;
   auto Propose(const control_command& command) -> bool;
   auto SendJoinRequest(mono_time now) -> void;
   auto PublishMetrics() -> void;
--- a/main/control_daemon_leader.cc
+++ b/main/control_daemon_leader.cc
@@ -344,19 +344,31 @@
   status.get_time_since_reply = [this](const node_id& id) {
     return raft_->GetTimeSinceReply(id);
   };
+  status.supports_swaps = [this](const node_id& id) {
+    return raft_->SupportsSwaps(id);
+  };
   status.disk_lost_after = milliseconds(settings_.suspect_ms());
+  const auto& group = raft_->get_group();
+  if (group.swap) {
+    ProposeMembership(EndSwap(group, identity_.node, status),
+                      group.swap->joining);
+    return;
+  }
   for (const auto& joiner : leader_->joiners) {
-    const auto next = PlanReplacement(raft_->get_group(), joiner, status);
-    if (!next) {
-      continue;
-    }
-    if (raft_->ProposeMembership(*next)) {
-      LogEvent(log_level::info, "membership_change",
-               {{"joiner", joiner.get()},
-                {"voters", std::to_string(next->voters.size())},
-                {"learners", std::to_string(next->learners.size())}});
+    if (const auto next = PlanReplacement(group, joiner, status)) {
+      ProposeMembership(*next, joiner);
+      return;
     }
-    return;
+  }
+}
+
+auto control_daemon::ProposeMembership(const membership& next,
+                                       const node_id& joiner) -> void {
+  if (raft_->ProposeMembership(next)) {
+    LogEvent(log_level::info, "membership_change",
+             {{"joiner", joiner.get()},
+              {"voters", std::to_string(next.voters.size())},
+              {"learners", std::to_string(next.learners.size())}});
   }
 }
 
--- a/main/raft_node.cc
+++ b/main/raft_node.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "codec/link_codec.h"
+#include "consensus/quorum.h"
 #include "core/error_kind.h"
 #include "main/site_paths.h"
 
@@ -379,26 +380,57 @@
   for (const auto& [node, time] : joiners_) {
     status.joiners.push_back(node);
   }
-  status.members.is_caught_up = [this](const node_id& id) {
-    return raft_->IsCaughtUp(id);
-  };
-  status.members.get_time_since_reply = [this](const node_id& id) {
-    return id == self_ ? duration(0) : raft_->GetTimeSinceReply(id);
-  };
-  status.members.disk_lost_after = kDiskLostAfter;
+  status.members = GetMemberStatus();
   auto options = membership_plan_options();
   options.voter_target = std::max<std::size_t>(
       kMinVoterTarget, 2 * settings_.tolerated_vm_losses + 1);
-  const auto next = PlanMembership(raft_->get_group(), self_, status, options);
+  options.tolerated_losses = settings_.tolerated_vm_losses;
+  const auto& group = raft_->get_group();
+  RecordBorneLosses(group, status.members);
+  const auto next = PlanMembership(group, self_, status, options);
   if (next && raft_->ProposeMembership(*next)) {
-    log_.Write(
-        event_category::state, "group_change_proposed",
-        {{"voters", static_cast<std::int64_t>(next->voters.size())},
-         {"learners", static_cast<std::int64_t>(next->learners.size())}});
+    log_.Write(event_category::state, "group_change_proposed",
+               {{"voters", static_cast<std::int64_t>(next->voters.size())},
+                {"learners", static_cast<std::int64_t>(next->learners.size())},
+                {"joining", next->swap ? next->swap->joining.get() : ""},
+                {"leaving", next->swap ? next->swap->leaving.get() : ""}});
     ProcessReady({});
   }
 }
 
+auto raft_node::GetMemberStatus() const -> member_status {
+  auto status = member_status();
+  status.is_caught_up = [this](const node_id& id) {
+    return raft_->IsCaughtUp(id);
+  };
+  status.get_time_since_reply = [this](const node_id& id) {
+    return id == self_ ? duration(0) : raft_->GetTimeSinceReply(id);
+  };
+  status.supports_swaps = [this](const node_id& id) {
+    return raft_->SupportsSwaps(id);
+  };
+  status.disk_lost_after = kDiskLostAfter;
+  return status;
+}
+
+auto raft_node::RecordBorneLosses(const membership& group,
+                                  const member_status& members) -> void {
+  const auto borne = CountBorneLosses(group, [&members](const node_id& id) {
+    return members.get_time_since_reply(id) <= members.disk_lost_after;
+  });
+  metrics_.Set("ebony_control_voters",
+               static_cast<double>(group.voters.size()));
+  metrics_.Set("ebony_control_losses_borne", static_cast<double>(borne));
+  if (borne != borne_losses_) {
+    borne_losses_ = borne;
+    log_.Write(event_category::state, "losses_borne",
+               {{"count", static_cast<std::int64_t>(borne)},
+                {"voters", static_cast<std::int64_t>(group.voters.size())},
+                {"tolerate",
+                 static_cast<std::int64_t>(settings_.tolerated_vm_losses)}});
+  }
+}
+
 auto raft_node::MaybeCompact() -> void {
   if (disk_.get_log_bytes() < kCompactBytes || disk_failed_) {
     return;
--- a/main/raft_node.h
+++ b/main/raft_node.h
@@ -68,6 +68,7 @@
   node_id logged_leader_;
   bool disk_failed_ = false;
   log_index applied_;
+  std::size_t borne_losses_ = SIZE_MAX;  // as logged last
 
   auto MakeIdentity() -> disk_identity;
   auto GetLinkAddress(const node_id& node) const -> host_port;
@@ -86,6 +87,10 @@
   auto MaybeCompact() -> void;
   auto MaybeJoin() -> void;
   auto MaybeChangeMembership() -> void;
+  auto GetMemberStatus() const -> member_status;
+  // Shows how many more voters may be lost before the group stops.
+  auto RecordBorneLosses(const membership& group, const member_status& members)
+      -> void;
   auto LogLeadership() -> void;
 
  public:
--- a/model/check.sh
+++ b/model/check.sh
@@ -61,6 +61,12 @@
 check expect_violation election MUTATION_COMMIT_OLD_TERM "-DMAXTERM=4 -DMAXLOG=1"
 check expect_holds voter_replacement
 check expect_violation voter_replacement MUTATION_SAME_IDENTITY
+check expect_holds voter_swap
+check expect_violation voter_swap MUTATION_ADD_FIRST
+check expect_violation voter_swap MUTATION_REMOVE_FIRST
+check expect_violation voter_swap MUTATION_NEW_SET_DECIDES
+check expect_violation voter_swap MUTATION_LEARNER_AHEAD
+wait
 check expect_holds orders
 check expect_holds orders -DFENCED
 check expect_violation orders MUTATION_NO_HOLD
--- a/tests/membership_planner_test.cc
+++ b/tests/membership_planner_test.cc
@@ -19,8 +19,9 @@
   std::set<node_id> unresponsive;
   std::vector<node_id> joiners;
   duration since_reply = milliseconds(60000);
+  std::optional<bool> supports_swaps = true;
 
-  auto Plan() const -> std::optional<membership> {
+  auto GetStatus() const -> group_status {
     auto status = group_status();
     status.joiners = joiners;
     status.members.is_caught_up = [this](const node_id& id) {
@@ -29,10 +30,17 @@
     status.members.get_time_since_reply = [this](const node_id& id) {
       return unresponsive.contains(id) ? since_reply : duration(0);
     };
+    status.members.supports_swaps = [this](const node_id&) {
+      return supports_swaps;
+    };
     status.members.disk_lost_after = milliseconds(600);
+    return status;
+  }
+
+  auto Plan() const -> std::optional<membership> {
     auto options = membership_plan_options();
     options.voter_target = 5;
-    return PlanMembership(group, group.voters.at(0), status, options);
+    return PlanMembership(group, group.voters.at(0), GetStatus(), options);
   }
 
   auto CountWorkingVoters() const -> std::size_t {
@@ -127,6 +135,59 @@
   BOOST_TEST(harness.group.voters.size() == 3U);
 }
 
+// With a member of an earlier build, which would take a swap for an addition,
+// the new voter is added and the lost one is removed.
+BOOST_AUTO_TEST_CASE(a_group_with_an_earlier_build_replaces_in_two_changes) {
+  auto harness = planner_harness();
+  harness.group.voters = {Node("a:1.0"), Node("b:1.0"), Node("c:1.0")};
+  harness.group.learners = {Node("d:1.5")};
+  harness.unresponsive = {Node("c:1.0")};
+  harness.supports_swaps = false;
+  const auto next = harness.Plan();
+  BOOST_REQUIRE(next.has_value());
+  BOOST_TEST(!next->swap.has_value());
+  BOOST_TEST(next->voters.size() == 4U);
+  harness.Settle();
+  const auto expected =
+      std::vector<node_id>{Node("a:1.0"), Node("b:1.0"), Node("d:1.5")};
+  BOOST_TEST((harness.group.voters == expected));
+}
+
+// Guards against a leader that takes a member which has not replied yet for one
+// of an earlier build.
+BOOST_AUTO_TEST_CASE(nothing_is_replaced_before_all_builds_are_known) {
+  auto harness = planner_harness();
+  harness.group.voters = {Node("a:1.0"), Node("b:1.0"), Node("c:1.0")};
+  harness.group.learners = {Node("d:1.5")};
+  harness.unresponsive = {Node("c:1.0")};
+  harness.supports_swaps = std::nullopt;
+  BOOST_TEST(!harness.Plan().has_value());
+}
+
+// Guards against a swap that drops the voter that works: the one that joined
+// may be gone by then, or the leader may be the one that was thought lost.
+BOOST_AUTO_TEST_CASE(a_swap_ends_with_the_voter_that_is_at_work) {
+  auto harness = planner_harness();
+  harness.group.voters = {Node("a:1.0"), Node("b:1.0"), Node("c:1.0"),
+                          Node("d:1.5")};
+  harness.group.swap = {Node("d:1.5"), Node("c:1.0")};
+  const auto get_last = [&harness](const char* self) {
+    const auto next =
+        EndSwap(harness.group, Node(self), harness.GetStatus().members);
+    BOOST_TEST(!next.swap.has_value());
+    BOOST_TEST(next.voters.size() == 3U);
+    return next.voters.back();
+  };
+  BOOST_TEST((get_last("a:1.0") == Node("d:1.5")));
+  BOOST_TEST((get_last("c:1.0") == Node("c:1.0")));
+  harness.unresponsive = {Node("c:1.0"), Node("d:1.5")};
+  BOOST_TEST((get_last("a:1.0") == Node("d:1.5")));
+  BOOST_TEST((get_last("d:1.5") == Node("d:1.5")));
+  harness.unresponsive = {Node("d:1.5")};
+  BOOST_TEST((get_last("a:1.0") == Node("c:1.0")));
+  BOOST_TEST((get_last("d:1.5") == Node("d:1.5")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
--- a/tests/raft_fault_matrix_test.cc
+++ b/tests/raft_fault_matrix_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <random>
@@ -148,6 +149,8 @@
   operators.SubmitConcurrently(2);
   const auto group = harness.GetGroup();
   BOOST_REQUIRE_EQUAL(group.voters.size(), 3U);
+  BOOST_REQUIRE_EQUAL(
+      std::count(group.voters.begin(), group.voters.end(), lost), 0);
   // A second VM is lost directly after the repair; no outcome may be lost.
   for (const auto& id : group.voters) {
     if (id != replacement) {
--- a/tests/raft_harness.cc
+++ b/tests/raft_harness.cc
@@ -190,8 +190,7 @@
 auto raft_harness::Deliver(const in_flight_message& item, raft_fault fault)
     -> void {
   const auto found = nodes_.find(item.message.to);
-  const auto is_partitioned = partitions_.contains(
-      {GetNodeVm(item.message.from), GetNodeVm(item.message.to)});
+  const auto is_partitioned = IsCut(item.message.from, item.message.to);
   if (found == nodes_.end() || !found->second.protocol || is_partitioned) {
     return;
   }
@@ -238,6 +237,62 @@
   CheckFreshLeaders();
 }
 
+auto raft_harness::GetMemberStatus(const raft& protocol) const
+    -> member_status {
+  auto status = member_status();
+  status.is_caught_up = [&protocol](const node_id& id) {
+    return protocol.IsCaughtUp(id);
+  };
+  status.get_time_since_reply = [&protocol](const node_id& id) {
+    return protocol.GetTimeSinceReply(id);
+  };
+  status.supports_swaps = [&protocol](const node_id& id) {
+    return protocol.SupportsSwaps(id);
+  };
+  status.disk_lost_after = kDiskLostAfter;
+  return status;
+}
+
+auto raft_harness::ListJoiners(const node& leader) const
+    -> std::vector<node_id> {
+  const auto& group = leader.protocol->get_group();
+  const auto contains = [](const std::vector<node_id>& ids, const node_id& id) {
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+  };
+  auto list = std::vector<node_id>();
+  for (const auto& [id, item] : nodes_) {
+    const auto can_ask = item.protocol && now_ >= item.paused_until &&
+                         !IsCut(id, leader.id) && !IsCut(leader.id, id);
+    if (can_ask && !contains(group.voters, id) &&
+        !contains(group.learners, id)) {
+      list.push_back(id);
+    }
+  }
+  return list;
+}
+
+auto raft_harness::ChangeMembership(node& item) -> void {
+  auto& protocol = *item.protocol;
+  const auto members = GetMemberStatus(protocol);
+  if (planner_) {
+    const auto status = group_status{ListJoiners(item), members};
+    if (const auto next = planner_(protocol.get_group(), item.id, status)) {
+      protocol.ProposeMembership(*next);
+    }
+    return;
+  }
+  if (protocol.get_group().swap) {
+    protocol.ProposeMembership(EndSwap(protocol.get_group(), item.id, members));
+    return;
+  }
+  for (const auto& joiner : joiners_) {
+    if (const auto next =
+            PlanReplacement(protocol.get_group(), joiner, members)) {
+      protocol.ProposeMembership(*next);
+    }
+  }
+}
+
 auto raft_harness::Run(duration time) -> void {
   const auto end = now_ + time;
   auto next_tick = now_;
@@ -265,21 +320,7 @@
       }
       item.protocol->Tick(GetLocalTime(item));
       if (item.protocol->is_leader_ready()) {
-        auto status = member_status();
-        auto* protocol = item.protocol.get();
-        status.is_caught_up = [protocol](const node_id& node) {
-          return protocol->IsCaughtUp(node);
-        };
-        status.get_time_since_reply = [protocol](const node_id& node) {
-          return protocol->GetTimeSinceReply(node);
-        };
-        status.disk_lost_after = kDiskLostAfter;
-        for (const auto& joiner : joiners_) {
-          if (const auto next =
-                  PlanReplacement(protocol->get_group(), joiner, status)) {
-            protocol->ProposeMembership(*next);
-          }
-        }
+        ChangeMembership(item);
       }
       ProcessReady(item, raft_fault::none);
     }
@@ -291,6 +332,47 @@
   faults_[steps_ + steps_from_now] = fault;
 }
 
+auto raft_harness::IsCut(const node_id& from, const node_id& to) const -> bool {
+  return partitions_.contains({GetNodeVm(from), GetNodeVm(to)});
+}
+
+auto raft_harness::Freeze(const node_id& id, duration time) -> void {
+  nodes_.at(id).paused_until = now_ + time;
+}
+
+auto raft_harness::Cut(const node_id& id, duration time) -> void {
+  const auto end = partitions_.empty() ? now_ : heal_at_;
+  for (const auto& [other, item] : nodes_) {
+    if (other != id) {
+      Partition(id, other, true);
+    }
+  }
+  heal_at_ = std::max(end, now_ + time);
+}
+
+auto raft_harness::Stop(const node_id& id, duration time) -> void {
+  Crash(nodes_.at(id), time);
+}
+
+auto raft_harness::ReplaceNode(const node_id& id,
+                               const node_id& successor,
+                               duration time) -> void {
+  nodes_.erase(id);
+  auto& item = nodes_[successor];
+  item.id = successor;
+  item.restart_at = now_ + time;
+}
+
+auto raft_harness::ListRunning() const -> std::vector<node_id> {
+  auto list = std::vector<node_id>();
+  for (const auto& [id, item] : nodes_) {
+    if (item.protocol && now_ >= item.paused_until) {
+      list.push_back(id);
+    }
+  }
+  return list;
+}
+
 auto raft_harness::Heal() -> void {
   faults_.clear();
   partitions_.clear();
--- a/tests/raft_harness.h
+++ b/tests/raft_harness.h
@@ -1,6 +1,7 @@
 #ifndef EBONY_TESTS_RAFT_HARNESS_H_
 #define EBONY_TESTS_RAFT_HARNESS_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -9,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "consensus/membership_planner.h"
 #include "consensus/raft.h"
 #include "control/control_state.h"
 
@@ -33,6 +35,13 @@
 // with a simulated network, disk and clock. Each message delivery is a step at
 // which a fault can be injected. A violated invariant throws std::logic_error.
 class raft_harness {
+ public:
+  // Plans the next membership in the place of `PlanReplacement`.
+  using planner = std::function<std::optional<membership>(const membership&,
+                                                          const node_id& self,
+                                                          const group_status&)>;
+
+ private:
   struct node {
     node_id id;
     std::unique_ptr<raft> protocol;  // null while the node is down
@@ -61,7 +70,14 @@
   std::map<term_number, mono_time> leader_since_;
   std::map<log_index, std::string> applied_;  // kind and payload
   std::set<node_id> joiners_;
+  planner planner_;
 
+  auto IsCut(const node_id& from, const node_id& to) const -> bool;
+  auto GetMemberStatus(const raft& protocol) const -> member_status;
+  // Lets the leader `item` propose the change of membership that is due.
+  auto ChangeMembership(node& item) -> void;
+  // Nodes that would send join requests to `leader`, being no members there.
+  auto ListJoiners(const node& leader) const -> std::vector<node_id>;
   auto Start(node& item, raft_persistent_state state) -> void;
   auto Crash(node& item, duration downtime) -> void;
   // Performs the work that the node's Raft returns until there is none.
@@ -84,6 +100,10 @@
 
   raft_harness(std::size_t voters, std::uint64_t seed);
 
+  // Lets `plan` decide on the membership. All nodes that are no members then
+  // ask to join.
+  auto SetPlanner(planner plan) -> void { planner_ = std::move(plan); }
+
   // Runs the group for `time` of simulated time.
   auto Run(duration time) -> void;
   // Injects a fault at the delivery `steps_from_now` deliveries ahead.
@@ -101,11 +121,25 @@
   // Restarts the VM of `lost` on an empty disk with the identity `replacement`.
   auto ReplaceDisk(const node_id& lost, const node_id& replacement) -> void;
 
+  // Pauses the node's process for `time`; messages wait for it.
+  auto Freeze(const node_id& id, duration time) -> void;
+  // Cuts the node's VM off from all others until `time` has passed. Cuts that
+  // overlap end together.
+  auto Cut(const node_id& id, duration time) -> void;
+  // Stops the node and starts it again on its disk after `time`.
+  auto Stop(const node_id& id, duration time) -> void;
+  // Ends the node with its disk, and starts `successor` on an empty one after
+  // `time`.
+  auto ReplaceNode(const node_id& id, const node_id& successor, duration time)
+      -> void;
+
   auto FindLeader() const -> std::optional<node_id>;
   // Returns the outcome of a change in the leader's state.
   auto FindOutcome(const change_id& id) const -> std::optional<change_outcome>;
   auto GetState(const node_id& id) const -> const control_state&;
   auto GetGroup() const -> membership;
+  // Ids of the nodes that run and are not paused.
+  auto ListRunning() const -> std::vector<node_id>;
   auto get_steps() const -> std::uint64_t { return steps_; }
 };
 
