Seeds of later settings are asked, by gateways and by new coordinators

Cause: a gateway's sync ended without a next one if it knew no coordinator. A coordinator on a new disk kept the seeds of its start, so with those gone it never found the group.

Change: a sync that has nobody to ask arms the next one; a join request goes to the seeds of the present settings, after the leader that was named last.

--- a/main/gateway_link.cc
+++ b/main/gateway_link.cc
@@ -112,7 +112,11 @@
 }
 
 auto gateway_link::Sync() -> void {
-  if (sync_call_ != nullptr || coordinators_.empty()) {
+  if (sync_call_ != nullptr) {
+    return;
+  }
+  if (coordinators_.empty()) {
+    ScheduleSync(kNoLeaderDelay);  // later settings may name seeds
     return;
   }
   sync_start_ = loop_.get_now();
--- a/main/raft_node.cc
+++ b/main/raft_node.cc
@@ -61,12 +61,7 @@
       log_(log),
       metrics_(counters),
       state_(std::move(state)),
-      disk_(settings.data_folder, std::move(write)) {
-  for (const auto& seed : settings_.seeds) {
-    known_link_addresses_.push_back(
-        GetLinkAddress(node_id(seed.get() + kFirstDiskSuffix)));
-  }
-}
+      disk_(settings.data_folder, std::move(write)) {}
 
 // A seed's first disk has a predictable node id, so that all seeds start with
 // the same membership. Every later disk gets a random id, so that no member
@@ -124,8 +119,16 @@
                    std::to_string(settings_.link_port));
 }
 
+auto raft_node::GetSeedLinkAddresses() const -> std::vector<host_port> {
+  auto links = std::vector<host_port>();
+  for (const auto& seed : settings_.seeds) {
+    links.push_back(GetLinkAddress(node_id(seed.get() + kFirstDiskSuffix)));
+  }
+  return links;
+}
+
 auto raft_node::GetLinkAddresses() const -> std::vector<host_port> {
-  auto links = known_link_addresses_;
+  auto links = std::vector<host_port>();
   const auto add = [&](const std::vector<node_id>& members) {
     for (const auto& member : members) {
       const auto link = GetLinkAddress(member);
@@ -134,13 +137,9 @@
       }
     }
   };
-  links.clear();
   add(raft_->get_group().voters);
   add(raft_->get_group().learners);
-  if (links.empty()) {
-    links = known_link_addresses_;
-  }
-  return links;
+  return links.empty() ? GetSeedLinkAddresses() : links;
 }
 
 auto raft_node::PersistReady() -> bool {
@@ -337,10 +336,14 @@
     return;
   }
   next_join_ = now + kJoinInterval;
-  auto links = known_link_addresses_;
+  // The seeds of the settings as they are now: those of the start may be gone.
+  auto links = GetSeedLinkAddresses();
   for (const auto& link : GetLinkAddresses()) {
     links.push_back(link);
   }
+  if (named_leader_ != host_port()) {
+    links.insert(links.begin(), named_leader_);
+  }
   std::erase(links, GetLinkAddress(self_));
   if (links.empty()) {
     return;
@@ -355,9 +358,7 @@
     auto answer = schema::join_answer();
     if (answer.ParseFromString(*body) && !answer.is_leader() &&
         !answer.leader_link().empty()) {
-      const auto leader = host_port(answer.leader_link());
-      std::erase(known_link_addresses_, leader);
-      known_link_addresses_.insert(known_link_addresses_.begin(), leader);
+      named_leader_ = host_port(answer.leader_link());
       next_join_link_ = 0;
     }
   };
--- a/main/raft_node.h
+++ b/main/raft_node.h
@@ -61,7 +61,7 @@
   std::map<node_id, peer> peers_;
   std::map<node_id, mono_time> joiners_;
   std::vector<pending_read> pending_reads_;
-  std::vector<host_port> known_link_addresses_;
+  host_port named_leader_;  // by the last answer to a join request
   std::size_t next_join_link_ = 0;
   mono_time next_join_;
   bool was_ready_ = false;
@@ -72,6 +72,7 @@
 
   auto MakeIdentity() -> disk_identity;
   auto GetLinkAddress(const node_id& node) const -> host_port;
+  auto GetSeedLinkAddresses() const -> std::vector<host_port>;
   // Persists Raft's output, sends its messages and applies committed entries.
   // Messages to `answer_to` are returned instead of sent.
   auto ProcessReady(const node_id& answer_to) -> std::vector<raft_message>;
--- a/tests/gateway_link_test.cc
+++ b/tests/gateway_link_test.cc
@@ -49,11 +49,13 @@
   bool follower_leads = false;
   int answers = 0;  // of a leader
 
-  lost_leader_harness() {
+  explicit lost_leader_harness(std::vector<host_port> seeds = {
+                                   host_port("127.0.0.1:1"),
+                                   host_port("127.0.0.2:1")}) {
     settings_.link_port = static_cast<std::uint16_t>(
         kFirstPort +
         static_cast<int>(std::random_device()() % std::uint32_t{kPorts}));
-    settings_.seeds = {host_port("127.0.0.1:1"), host_port("127.0.0.2:1")};
+    settings_.seeds = std::move(seeds);
     leader_ = Listen("127.0.0.1", [this](const incoming_request&,
                                          const response_pointer& answer) {
       ++leader_syncs;
@@ -79,6 +81,10 @@
     link_->Start();
   }
 
+  auto AddSeeds(const std::vector<host_port>& seeds) -> void {
+    link_->AddSeeds(seeds);
+  }
+
   auto RunFor(duration time) -> void {
     const auto until = loop_.RefreshNow() + time;
     loop_.Run([&] { return loop_.get_now() >= until; });
@@ -99,6 +105,18 @@
   BOOST_TEST(harness.answers >= 1);
 }
 
+// Guards against a gateway that starts without seeds and never asks again
+// (review/14).
+BOOST_AUTO_TEST_CASE(seeds_of_later_settings_are_asked) {
+  auto harness = lost_leader_harness(std::vector<host_port>());
+  harness.follower_leads = true;
+  harness.RunFor(milliseconds(400));
+  BOOST_TEST(harness.answers == 0);
+  harness.AddSeeds({host_port("127.0.0.2:1")});
+  harness.RunFor(milliseconds(600));
+  BOOST_TEST(harness.answers >= 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace ebony::testing
