A departure ends no start of a server that was first heard of later

A coordinator that had been frozen meanwhile passed the DELETE on late; from then on the server was never used, though its heartbeats were answered 200: 0 of 40 requests on the route that only it served.

Cause: a DELETE names no start, and was taken for one of the present start whenever it had been said. No announcement of a start that had left counted again; the leader forgot the departure after 30 s, the gateways did not. Ruled out: the start time that a body may carry (handled, but the call has no body), and the order of sequence numbers (each heartbeat had a higher one).

Change: the event loop knows that it stood still; a call carries the earliest time at which it may have arrived, also when it is passed on. A departure without a start that may be older than the present one changes nothing: 503 with the reason. A start that goes on for 30 s after its departure is in use again, everywhere.

Why it works: a departing server's own start was heard of before it said so, and who still waits for an answer says it again; what is older than a start can't be its own.

--- a/codec/site_codec.cc
+++ b/codec/site_codec.cc
@@ -279,6 +279,7 @@
   row.set_data_centre(status.data_centre.get());
   row.set_software(status.software.get());
   row.set_said_leaving(record.has_said_leaving);
+  row.set_returned(record.has_returned);
   row.set_slots(status.slots);
   row.set_leaving(status.is_leaving);
   row.set_sequence(status.sequence);
@@ -335,6 +336,7 @@
     status.on_disk.emplace_back(name);
   }
   record.has_said_leaving = row.said_leaving();
+  record.has_returned = row.returned();
   record.has_left = row.gone();
   record.is_suspected = row.suspected();
   record.last_seen = now - std::chrono::milliseconds(row.silent_ms());
--- a/core/backend_registry.cc
+++ b/core/backend_registry.cc
@@ -54,17 +54,42 @@
          now - current.last_seen > options_.suspect_after;
 }
 
-auto backend_registry::Announce(const backend_status& status, mono_time now)
+auto backend_registry::GetRejection(const backend_record& current,
+                                    const backend_status& status) const
     -> announce_result {
-  const auto found = records_.find(status.id);
-  if (found != records_.end() && !IsNewer(found->second, status, now)) {
-    return announce_result::stale;
+  if (status.start_time_ms < current.status.start_time_ms) {
+    return announce_result::earlier_start;
   }
+  return current.has_left ? announce_result::has_left
+                          : announce_result::superseded;
+}
+
+auto backend_registry::IsReturning(const backend_record& current,
+                                   const backend_status& status,
+                                   mono_time now) const -> bool {
+  const auto is_next = status.start_time_ms != current.status.start_time_ms ||
+                       status.sequence > current.status.sequence;
+  return current.has_left && !status.is_leaving && is_next &&
+         now - current.last_seen > options_.trust_departure_for;
+}
+
+auto backend_registry::Announce(const backend_status& status,
+                                mono_time now,
+                                mono_time said_at) -> announce_result {
+  const auto found = records_.find(status.id);
   const auto is_known = found != records_.end();
+  const auto is_returning = is_known && IsReturning(found->second, status, now);
+  if (is_known && !is_returning && !IsNewer(found->second, status, now)) {
+    return GetRejection(found->second, status);
+  }
   auto& record = records_[status.id];
   if (!is_known || record.status.start_time_ms != status.start_time_ms) {
     record.limit = PresumeLimit(status, record.limit, now);
     record.has_said_leaving = false;
+    record.has_returned = false;
+    record.known_since = now;
+  } else if (status.sequence < record.status.sequence) {
+    record.known_since = now;  // a restart that names no start time
   }
   auto announced = status;
   announced.is_leaving = status.is_leaving || record.has_said_leaving;
@@ -72,8 +97,9 @@
                        HasSameContent(record.status, announced);
   record.status = announced;
   record.has_left = false;
-  record.is_suspected = false;
-  record.last_seen = now;
+  record.has_returned = record.has_returned || is_returning;
+  record.last_seen = std::max(record.last_seen, said_at);
+  record.is_suspected = now - record.last_seen > options_.suspect_after;
   if (is_same) {
     return announce_result::unchanged;
   }
@@ -109,50 +135,52 @@
   return presumed;
 }
 
-auto backend_registry::Leave(const backend_name& id,
-                             std::uint64_t start_time_ms,
-                             mono_time now) -> bool {
-  const auto found = records_.find(id);
-  if (found == records_.end()) {
-    // The record makes announcements that are still in flight stale.
-    auto& record = records_[id];
-    record.status.id = id;
-    record.status.start_time_ms = start_time_ms;
-    record.has_left = true;
-    record.last_seen = now;
-    Touch(record);
-    return true;
+auto backend_registry::ApplyDeparture(const backend_departure& departure)
+    -> departure_result {
+  auto& record = records_.at(departure.id);
+  const auto known_start = record.status.start_time_ms;
+  const auto names_start = departure.start_time_ms != 0;
+  const auto is_earlier_start =
+      names_start && departure.start_time_ms < known_start;
+  const auto is_later_start =
+      names_start && departure.start_time_ms > known_start;
+  if (is_earlier_start || (record.has_left && !is_later_start)) {
+    return departure_result::known;
   }
-  auto& record = found->second;
-  if (record.has_left ||
-      (start_time_ms != 0 && start_time_ms < record.status.start_time_ms)) {
-    return false;
+  if (!names_start && departure.said_at < record.known_since) {
+    return departure_result::ambiguous;
   }
+  // The status is kept: a departure comes without address and service.
+  record.status.start_time_ms = std::max(known_start, departure.start_time_ms);
   record.has_left = true;
-  record.last_seen = now;
+  record.has_returned = false;
+  record.last_seen = departure.said_at;
   Touch(record);
-  return true;
+  return departure_result::recorded;
+}
+
+auto backend_registry::Leave(const backend_departure& departure)
+    -> departure_result {
+  const auto [found, is_new] = records_.try_emplace(departure.id);
+  if (is_new) {
+    // The record makes announcements that are still in flight stale.
+    found->second.status.id = departure.id;
+    found->second.known_since = departure.said_at;
+  }
+  return ApplyDeparture(departure);
 }
 
 auto backend_registry::MergeDeparture(const backend_record& record) -> bool {
-  const auto start_time_ms = record.status.start_time_ms;
-  auto [found, is_new] = records_.try_emplace(record.status.id, record);
-  auto& known = found->second;
+  const auto departure = backend_departure{
+      record.status.id, record.status.start_time_ms, record.last_seen};
+  const auto [found, is_new] = records_.try_emplace(record.status.id, record);
   if (is_new) {
+    auto& known = found->second;
     known.revision = 0;  // that of the record is of another registry
+    known.has_left = false;
+    known.known_since = record.last_seen;
   }
-  if (!is_new &&
-      (known.has_left ||
-       (start_time_ms != 0 && start_time_ms < known.status.start_time_ms))) {
-    return false;
-  }
-  // The status is kept: a departure may come without address and service.
-  known.status.start_time_ms =
-      std::max(known.status.start_time_ms, start_time_ms);
-  known.has_left = true;
-  known.last_seen = record.last_seen;
-  Touch(known);
-  return true;
+  return ApplyDeparture(departure) == departure_result::recorded;
 }
 
 auto backend_registry::MergeSuspicion(const backend_record& record) -> bool {
@@ -168,8 +196,13 @@
     return MergeDeparture(record);
   }
   const auto found = records_.find(record.status.id);
-  const auto is_newer =
-      found == records_.end() || IsNewer(found->second, record.status, now);
+  const auto is_returning =
+      found != records_.end() && record.has_returned &&
+      found->second.has_left &&
+      (record.status.start_time_ms != found->second.status.start_time_ms ||
+       record.status.sequence > found->second.status.sequence);
+  const auto is_newer = found == records_.end() || is_returning ||
+                        IsNewer(found->second, record.status, now);
   const auto is_same_start =
       found != records_.end() &&
       found->second.status.start_time_ms == record.status.start_time_ms &&
@@ -191,8 +224,12 @@
   const auto is_same_run =
       merged.status.start_time_ms == record.status.start_time_ms;
   const auto known_revision = merged.revision;
+  const auto is_known = merged.known_since != mono_time();
+  const auto known_since = is_same_run && is_known ? merged.known_since : now;
   merged = record;
-  merged.revision = known_revision;  // that of `record` is of another registry
+  // Those of `record` are of another registry.
+  merged.revision = known_revision;
+  merged.known_since = known_since;
   if (is_same_run && known_limit.observed > record.limit.observed) {
     merged.limit = known_limit;
   }
@@ -277,8 +314,12 @@
     }
   }
   for (auto item = records_.begin(); item != records_.end();) {
-    const auto is_expired =
-        now - item->second.last_seen > options_.remove_after;
+    // A departure is kept until a server that is at work has announced itself
+    // after the time for which it is trusted.
+    const auto kept_for = item->second.has_left ? options_.trust_departure_for +
+                                                      options_.remove_after
+                                                : options_.remove_after;
+    const auto is_expired = now - item->second.last_seen > kept_for;
     if (is_expired) {
       by_revision_.erase(item->second.revision);
       item = records_.erase(item);
--- a/core/backend_registry.h
+++ b/core/backend_registry.h
@@ -16,8 +16,14 @@
   backend_status status;
   bool has_left = false;      // deregistered itself
   bool is_suspected = false;  // no announcement for `suspect_after`
-  mono_time last_seen;        // time of the last announcement or leave
-  request_limit limit;        // as named in answers of its present start
+  mono_time last_seen;        // time of the last announcement or departure
+  // When this registry first heard of the present start. Not comparable between
+  // registries.
+  mono_time known_since;
+  // The present start had left, and has announced itself for so long since then
+  // that the departure cannot have been its own.
+  bool has_returned = false;
+  request_limit limit;  // as named in answers of its present start
   // The present start said in an answer that it is about to stop. Holds
   // whatever its announcements say.
   bool has_said_leaving = false;
@@ -28,9 +34,28 @@
 
 // Effect of an announcement on the registry.
 enum class announce_result {
-  changed,    // accepted with new content
-  unchanged,  // accepted with the same content
-  stale,      // rejected as older than the record
+  changed,        // accepted with new content
+  unchanged,      // accepted with the same content
+  superseded,     // this start has said something newer
+  earlier_start,  // a later start of the server is known
+  has_left,       // this start has said that it has left
+};
+
+// A server deregisters.
+struct backend_departure {
+  backend_name id;
+  std::uint64_t start_time_ms = 0;  // 0: does not say which of its starts left
+  // Earliest time at which the server may have said so.
+  mono_time said_at;
+};
+
+// Effect of a departure on the registry.
+enum class departure_result {
+  recorded,
+  known,  // that start has left already, or a later one is known
+  // It names no start, and the present one was first heard of after it may have
+  // been said. Nothing is changed: the server has to say it again.
+  ambiguous,
 };
 
 struct backend_registry_options {
@@ -38,11 +63,15 @@
   duration suspect_after = std::chrono::milliseconds(2700);
   // Time without an announcement after which the record is removed.
   duration remove_after = std::chrono::seconds(30);
+  // Time after a departure from which on announcements of the start that left
+  // show that it is at work. Delayed ones arrive earlier.
+  duration trust_departure_for = std::chrono::seconds(30);
 };
 
 // Holds the latest announcement of each backend server. Announcements are
 // ordered by the server's start time, then by its sequence number. Messages of
-// an earlier start are rejected, and so are those of a start that has left.
+// an earlier start are rejected, and so are those of a start that has left,
+// until it has gone on for longer than a departing server would.
 class backend_registry {
   backend_registry_options options_;
   std::map<backend_name, backend_record> records_;
@@ -58,21 +87,36 @@
   auto PresumeLimit(const backend_status& status,
                     const request_limit& former,
                     mono_time now) const -> request_limit;
+  // Records a departure if it is of the known start of the server or a later
+  // one. Requires a record of the server.
+  auto ApplyDeparture(const backend_departure& departure) -> departure_result;
   auto MergeDeparture(const backend_record& record) -> bool;
   auto MergeSuspicion(const backend_record& record) -> bool;
   auto IsNewer(const backend_record& current,
                const backend_status& status,
                mono_time now) const -> bool;
+  // Returns why an announcement that is not newer is not accepted.
+  auto GetRejection(const backend_record& current,
+                    const backend_status& status) const -> announce_result;
+  // Returns true if a server that had left is evidently at work.
+  auto IsReturning(const backend_record& current,
+                   const backend_status& status,
+                   mono_time now) const -> bool;
 
  public:
   explicit backend_registry(backend_registry_options options);
 
-  // Applies an announcement unless it is stale.
-  auto Announce(const backend_status& status, mono_time now) -> announce_result;
-  // Marks a server as left. A `start_time_ms` of 0 stands for its current
-  // start. Returns false when it has already left or has started again since.
-  auto Leave(const backend_name& id, std::uint64_t start_time_ms, mono_time now)
-      -> bool;
+  // Applies an announcement that was said at `said_at`, or later, unless it is
+  // stale.
+  auto Announce(const backend_status& status, mono_time now, mono_time said_at)
+      -> announce_result;
+  // Applies an announcement that was said now.
+  auto Announce(const backend_status& status, mono_time now)
+      -> announce_result {
+    return Announce(status, now, now);
+  }
+  // Marks a server as left.
+  auto Leave(const backend_departure& departure) -> departure_result;
   // Applies a record of another daemon's registry if its content is newer.
   // Returns whether it was applied. A departure is always newer than the other
   // records of its start, and of any start if its own is unknown.
--- a/drivers/event_loop.cc
+++ b/drivers/event_loop.cc
@@ -19,6 +19,9 @@
 // Bounds the delay until a signal that arrives between two waits is handled.
 constexpr duration kMaxWait = std::chrono::milliseconds(200);
 
+// What arrived during a standstill is handled within this time after its end.
+constexpr duration kBacklogTime = std::chrono::milliseconds(1000);
+
 auto MakeToken(int fd, std::uint32_t generation) -> std::uint64_t {
   return (static_cast<std::uint64_t>(generation) << 32U) |
          static_cast<std::uint32_t>(fd);
@@ -27,7 +30,9 @@
 }  // namespace
 
 event_loop::event_loop()
-    : epoll_fd_(::epoll_create1(EPOLL_CLOEXEC)), now_(GetNow()) {
+    : epoll_fd_(::epoll_create1(EPOLL_CLOEXEC)),
+      now_(GetNow()),
+      round_began_(now_) {
   if (epoll_fd_ < 0) {
     throw ebony_error(error_kind::internal, "cannot create an epoll instance");
   }
@@ -154,15 +159,38 @@
   entry->hook(ready);
 }
 
+auto event_loop::BeginRound(duration wait) -> void {
+  RefreshNow();
+  if (now_ - round_began_ > wait + kMinStandstill) {
+    const auto is_next_of_series =
+        standstill_ended_ != mono_time() &&
+        round_began_ - standstill_ended_ < kBacklogTime;
+    if (!is_next_of_series) {
+      standstill_began_ = round_began_;
+    }
+    standstill_ended_ = now_;
+  }
+  round_began_ = now_;
+}
+
+auto event_loop::GetEarliestArrival() const -> mono_time {
+  const auto has_backlog = standstill_ended_ != mono_time() &&
+                           now_ - standstill_ended_ < kBacklogTime;
+  return has_backlog ? standstill_began_ : now_;
+}
+
 auto event_loop::Run(const std::function<bool()>& is_done) -> void {
   auto events = std::array<epoll_event, kEventsPerRound>();
+  // Time between two runs is none in which the process stood still.
+  round_began_ = RefreshNow();
   while (!is_done()) {
+    const auto wait_ms = GetWaitMs();
     const auto count =
-        ::epoll_wait(epoll_fd_, events.data(), kEventsPerRound, GetWaitMs());
+        ::epoll_wait(epoll_fd_, events.data(), kEventsPerRound, wait_ms);
     if (count < 0 && errno != EINTR) {
       throw ebony_error(error_kind::internal, "epoll_wait failed");
     }
-    RefreshNow();
+    BeginRound(std::chrono::milliseconds(wait_ms));
     for (auto i = 0; i < count; ++i) {
       const auto& event = events.at(static_cast<std::size_t>(i));
       Dispatch(event.data.u64, event.events);
--- a/drivers/event_loop.h
+++ b/drivers/event_loop.h
@@ -41,6 +41,10 @@
   std::uint32_t next_generation_ = 1;
   std::uint64_t next_timer_ = 1;
   mono_time now_;
+  mono_time round_began_;
+  // The last time, or series of times, for which this process stood still.
+  mono_time standstill_began_;
+  mono_time standstill_ended_;
   std::unordered_map<int, std::shared_ptr<registration>> registrations_;
   std::multimap<mono_time, timer> timers_;
   std::unordered_map<std::uint64_t, mono_time> timer_times_;
@@ -48,6 +52,8 @@
   auto ControlEpoll(int operation, int fd, const registration& entry) -> void;
   auto RunTimers() -> void;
   auto GetWaitMs() const -> int;
+  // Begins a round after a wait that should have taken up to `wait`.
+  auto BeginRound(duration wait) -> void;
   auto Dispatch(std::uint64_t token, std::uint32_t events) -> void;
 
  public:
@@ -78,6 +84,12 @@
   // Reads the clock and returns the time.
   auto RefreshNow() -> mono_time;
 
+  // Earliest time at which what is handled now may have arrived. It is earlier
+  // than now after this process stood still: frozen, suspended or without
+  // processor. Delays of less than `kMinStandstill` are not seen.
+  auto GetEarliestArrival() const -> mono_time;
+  static constexpr duration kMinStandstill = std::chrono::milliseconds(700);
+
   // Runs until `is_done` returns true; it is called before each round. Throws
   // ebony_error when epoll fails.
   auto Run(const std::function<bool()>& is_done) -> void;
--- a/drivers/http_connection.cc
+++ b/drivers/http_connection.cc
@@ -324,6 +324,9 @@
 }
 
 auto http_connection::KeepUnparsed(std::string_view rest) -> void {
+  if (unparsed_.empty()) {
+    unparsed_arrived_after_ = listener_.loop_.GetEarliestArrival();
+  }
   unparsed_.append(rest);
   CountUnparsed();
 }
@@ -386,6 +389,11 @@
     -> bool {
   if (request_.received_at == mono_time()) {
     request_.received_at = listener_.loop_.get_now();
+    request_.arrived_after = listener_.loop_.GetEarliestArrival();
+    if (!unparsed_.empty()) {
+      request_.arrived_after =
+          std::min(request_.arrived_after, unparsed_arrived_after_);
+    }
     RecordProgress();
     StartTimer(listener_.options_.get_limits().head_timeout,
                [this] { Reject(kRequestTimeout); });
--- a/drivers/http_connection.h
+++ b/drivers/http_connection.h
@@ -33,8 +33,9 @@
   std::shared_ptr<stream_socket> socket_;
   std::unique_ptr<http_reader> reader_;
   incoming_request request_;
-  std::string unparsed_;       // received bytes
-  response_pointer response_;  // null while no request is being handled
+  std::string unparsed_;              // received bytes
+  mono_time unparsed_arrived_after_;  // of the first of them, if they waited
+  response_pointer response_;         // null while no request is being handled
   bool is_closing_ = false;
   bool wants_keep_alive_ = true;
   bool has_head_ = false;
--- a/drivers/http_listener.h
+++ b/drivers/http_listener.h
@@ -21,6 +21,9 @@
   http_head head;
   std::string body;
   mono_time received_at;  // when its first bytes were read
+  // Earliest time at which its first bytes may have arrived; before
+  // `received_at` if this process stood still.
+  mono_time arrived_after;
 };
 
 // Limits on the size of a request and on the time that a caller takes to send
--- a/drivers/http_pool.cc
+++ b/drivers/http_pool.cc
@@ -297,6 +297,11 @@
     return path;
   }
 
+  auto Reset() -> void {
+    socket_->Reset();
+    Close();
+  }
+
   auto Close() -> void {
     const auto self = shared_from_this();
     pool_.loop_.CancelTimer(connect_timer_);
@@ -336,6 +341,13 @@
   }
 }
 
+auto pooled_call::CancelAndReset() -> void {
+  const auto connection = connection_.lock();
+  if (connection != nullptr && connection->IsRunning(path_.earlier_calls)) {
+    connection->Reset();
+  }
+}
+
 auto pooled_call::CancelIfUnsent() -> bool {
   const auto connection = connection_.lock();
   if (connection == nullptr || !connection->IsRunning(path_.earlier_calls) ||
--- a/drivers/http_pool.h
+++ b/drivers/http_pool.h
@@ -78,6 +78,9 @@
   // Cancels the call, unless it has ended, by closing its connection. No hook
   // is called any more.
   auto Cancel() -> void;
+  // As `Cancel`, but what the peer has not received yet is dropped: it must not
+  // arrive after the caller has given up.
+  auto CancelAndReset() -> void;
   // The same if no byte of the call has been sent. Returns whether it has been
   // cancelled.
   auto CancelIfUnsent() -> bool;
--- a/main/coordinator_daemon.cc
+++ b/main/coordinator_daemon.cc
@@ -246,10 +246,10 @@
   try {
     const auto decoded = platform::DecodeControlCall(call.head, call.body);
     if (const auto* announce = std::get_if<platform::announce_call>(&decoded)) {
-      OnAnnounce(announce->status, answer);
+      OnAnnounce(announce->status, call.arrived_after, answer);
     } else if (const auto* leave =
                    std::get_if<platform::leave_call>(&decoded)) {
-      OnLeave(*leave, answer);
+      OnLeave(*leave, call.arrived_after, answer);
     } else if (const auto* put =
                    std::get_if<platform::put_config_call>(&decoded)) {
       OnPutConfig(put->number, call.head.target, call.body, answer);
@@ -276,94 +276,6 @@
   Respond(answer, row.http_status, {});
 }
 
-auto coordinator_daemon::RespondToAnnouncement(const response_pointer& answer)
-    -> void {
-  const auto next = raft_.is_leader() ? settings_.operator_address
-                                      : raft_.GetLeaderOperatorAddress();
-  Respond(answer, kOk, platform::EncodeAnnounceAnswer(next));
-}
-
-auto coordinator_daemon::RecordAnnouncement(backend_status status)
-    -> announce_result {
-  order_executor_.ApplyKnownModels(status);
-  if (!software_.Contains({status.service, status.software})) {
-    has_all_software_ = false;
-    is_census_due_ = true;
-  }
-  return registry_.Announce(status, loop_.get_now());
-}
-
-auto coordinator_daemon::OnAnnounce(const backend_status& status,
-                                    const response_pointer& answer) -> void {
-  if (!raft_.is_leader()) {
-    auto record = backend_record();
-    record.status = status;
-    record.last_seen = loop_.get_now();
-    ForwardToLeader(ToSchema(record, loop_.get_now()), answer);
-    return;
-  }
-  const auto result = RecordAnnouncement(status);
-  if (result == announce_result::changed) {
-    log_.Write(event_category::state, "backend_announced",
-               {{"backend", status.id.get()},
-                {"service", status.service.get()},
-                {"address", status.address.get()},
-                {"leaving", status.is_leaving ? "yes" : "no"},
-                {"models", static_cast<std::int64_t>(status.models.size())},
-                {"sequence", static_cast<std::int64_t>(status.sequence)}});
-  }
-  AwaitPropagation(status.id, [this, answer](bool is_propagated) {
-    if (is_propagated) {
-      RespondToAnnouncement(answer);
-    } else {
-      Respond(answer, kUnavailable, {});
-    }
-  });
-}
-
-// A departure is acknowledged only after the gateways have received it, so that
-// it survives the loss of this leader. Everything else is acknowledged at once.
-auto coordinator_daemon::AwaitPropagation(const backend_name& id,
-                                          std::function<void(bool)> done)
-    -> void {
-  const auto* record = registry_.Find(id);
-  const auto is_departing =
-      record != nullptr && (record->has_left || record->status.is_leaving);
-  if (!is_departing) {
-    done(true);
-    return;
-  }
-  if (!raft_.IsConfirmedLeader()) {
-    done(false);  // another leader may serve the gateways
-    return;
-  }
-  drain_acks_.Wait(record->revision, loop_.get_now(), std::move(done));
-}
-
-auto coordinator_daemon::OnLeave(const platform::leave_call& call,
-                                 const response_pointer& answer) -> void {
-  if (!raft_.is_leader()) {
-    auto record = backend_record();
-    record.status.id = call.id;
-    record.status.start_time_ms = call.start_time_ms;
-    record.has_left = true;
-    record.last_seen = loop_.get_now();
-    ForwardToLeader(ToSchema(record, loop_.get_now()), answer);
-    return;
-  }
-  if (registry_.Leave(call.id, call.start_time_ms, loop_.get_now())) {
-    log_.Write(event_category::state, "backend_left",
-               {{"backend", call.id.get()}});
-  }
-  AwaitPropagation(call.id, [this, answer](bool is_propagated) {
-    if (is_propagated) {
-      RespondToAnnouncement(answer);
-    } else {
-      Respond(answer, kUnavailable, {});
-    }
-  });
-}
-
 auto coordinator_daemon::RedirectToLeader(const std::string& target,
                                           const response_pointer& answer)
     -> void {
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -121,11 +121,6 @@
       -> void;
   auto OnDirectoryCall(const incoming_request& call,
                        const response_pointer& answer) -> void;
-  auto RecordAnnouncement(backend_status status) -> announce_result;
-  auto OnAnnounce(const backend_status& status, const response_pointer& answer)
-      -> void;
-  auto OnLeave(const platform::leave_call& call, const response_pointer& answer)
-      -> void;
   auto OnPutConfig(config_number number,
                    const std::string& target,
                    const std::string& body,
@@ -134,40 +129,66 @@
       -> void;
   auto OnResolve(const platform::resolve_call& call,
                  const response_pointer& answer) -> void;
-  // Responds to an announcement or departure once the leader has it.
-  // Parses a message of another daemon, and logs what could not be read of it.
-  // Returns false if that is all.
-  template <typename Message>
-  auto ReadRows(const char* path, const std::string& body, Message& message)
-      -> bool;
-  auto ForwardToLeader(const schema::backend_status_row& row,
-                       const response_pointer& answer) -> void;
+  // Logs what could not be read of a message of another daemon. Returns false
+  // if that is all.
+  auto CheckRows(const char* path,
+                 std::size_t bytes,
+                 std::optional<std::size_t> unreadable_rows) -> bool;
   auto RedirectToLeader(const std::string& target,
                         const response_pointer& answer) -> void;
-  // Calls `done` with true once every live gateway has the departure of a
-  // backend server, with false when that takes too long. Calls it immediately
-  // when the server is not departing.
-  auto AwaitPropagation(const backend_name& id, std::function<void(bool)> done)
-      -> void;
   // Answers a call that cannot be decoded.
   auto RefuseCall(const http_head& head,
                   const ebony_error& error,
                   const response_pointer& answer) -> void;
-  auto RespondToAnnouncement(const response_pointer& answer) -> void;
   auto Respond(const response_pointer& answer, int status, std::string body)
       -> void;
 
+  // Calls of backend servers, here or at another coordinator. What they say was
+  // said at `said_at` or later.
+  struct announce_outcome;
+  auto OnAnnounce(const backend_status& status,
+                  mono_time said_at,
+                  const response_pointer& answer) -> void;
+  auto OnLeave(const platform::leave_call& call,
+               mono_time said_at,
+               const response_pointer& answer) -> void;
+  auto OnAnnounceBatch(const incoming_request& call,
+                       const response_pointer& answer) -> void;
+  auto RecordAnnouncement(backend_status status, mono_time said_at)
+      -> announce_result;
+  auto ApplyAnnouncement(const backend_status& status,
+                         mono_time said_at,
+                         announce_outcome& outcome) -> void;
+  auto ApplyDeparture(const backend_departure& departure,
+                      announce_outcome& outcome) -> void;
+  // Calls `done` once it is known whether all live gateways have what the
+  // servers `ids` have said.
+  auto FinishAnnouncements(const std::vector<backend_name>& ids,
+                           announce_outcome outcome,
+                           std::function<void(const announce_outcome&)> done)
+      -> void;
+  // Calls `done` with true once every live gateway has the departure of a
+  // backend server, with false when that takes too long. Calls it immediately
+  // when the server is not departing.
+  auto AwaitPropagation(const backend_name& id, std::function<void(bool)> done)
+      -> void;
+  auto ForwardToLeader(const backend_record& record,
+                       const response_pointer& answer) -> void;
+  auto RespondToServer(const announce_outcome& outcome,
+                       const response_pointer& answer) -> void;
+  auto RespondToAnnouncement(const response_pointer& answer) -> void;
+
   // Calls of coordinators and gateways.
   auto OnLinkCall(const incoming_request& call, const response_pointer& answer)
       -> void;
-  auto OnSync(const std::string& body, const response_pointer& answer) -> void;
-  auto OnAnnounceBatch(const std::string& body, const response_pointer& answer)
+  auto OnSync(const incoming_request& call, const response_pointer& answer)
       -> void;
   auto RecordLoads(const schema::sync_request& request) -> void;
   // Records the servers that said in answers that they are about to stop.
   auto RecordLeaving(const schema::sync_request& request) -> void;
   // Records the limits and the requests for permits that a daemon reports.
-  auto RecordPermitRequests(const schema::sync_request& request) -> void;
+  auto RecordPermitRequests(const schema::sync_request& request,
+                            mono_time said_at) -> void;
   // Passes the limits in the registry on to the permit allocator.
   auto UpdateLimits() -> void;
   // Looks at the software versions of all servers and proposes the changes of
@@ -202,19 +223,23 @@
   auto FillRegistry(const schema::sync_request& request,
                     schema::sync_answer& reply) -> void;
   auto FillGatewayAnswer(const schema::sync_request& request,
+                         mono_time said_at,
                          schema::sync_answer& reply) -> void;
   auto FillConfig(const schema::sync_request& request,
                   schema::sync_answer& reply) const -> void;
   auto FillFollowerAnswer(const schema::sync_request& request,
+                          mono_time said_at,
                           schema::sync_answer& reply) -> void;
   // Fills in the gateways to which the requesting one can hand requests over.
   auto FillPeers(const schema::sync_request& request,
                  schema::sync_answer& reply) -> void;
   auto FillRelayedAnswer(const schema::sync_request& request,
+                         mono_time said_at,
                          schema::sync_answer& reply) -> void;
   auto FillGateways(schema::sync_answer& reply) const -> void;
   auto FillRelays(schema::sync_answer& reply) const -> void;
-  auto RecordRelayedGateways(const schema::sync_request& request) -> void;
+  auto RecordRelayedGateways(const schema::sync_request& request,
+                             mono_time said_at) -> void;
   auto GetLeaderSyncInterval() const -> duration;
 
   auto GetKnownFacts() const -> known_facts;
--- a/main/coordinator_daemon_links.cc
+++ b/main/coordinator_daemon_links.cc
@@ -27,8 +27,6 @@
 // Streams in one answer to a follower.
 constexpr std::size_t kMaxStreamCopies = 4096;
 constexpr duration kLeaderSyncTimeout = std::chrono::milliseconds(800);
-// Below the 1 s timeout of backend servers that announce themselves.
-constexpr duration kForwardTimeout = std::chrono::milliseconds(900);
 constexpr duration kLinkIdleTimeout = std::chrono::seconds(5);
 
 constexpr int kOk = 200;
@@ -38,94 +36,22 @@
 
 }  // namespace
 
-template <typename Message>
-auto coordinator_daemon::ReadRows(const char* path,
-                                  const std::string& body,
-                                  Message& message) -> bool {
-  const auto unreadable_rows = ReadMessage(body, message);
+auto coordinator_daemon::CheckRows(const char* path,
+                                   std::size_t bytes,
+                                   std::optional<std::size_t> unreadable_rows)
+    -> bool {
   if (unreadable_rows == 0U) {
     return true;
   }
   metrics_.Count("ebony_unreadable_rows_total", unreadable_rows.value_or(0));
   log_.Write(event_category::state, "message_unreadable",
              {{"path", path},
-              {"bytes", static_cast<std::int64_t>(body.size())},
+              {"bytes", static_cast<std::int64_t>(bytes)},
               {"rows", static_cast<std::int64_t>(unreadable_rows.value_or(0))},
               {"used", unreadable_rows ? "yes" : "no"}});
   return unreadable_rows.has_value();
 }
 
-// The backend server's call is acknowledged only after the leader has accepted
-// it.
-auto coordinator_daemon::ForwardToLeader(const schema::backend_status_row& row,
-                                         const response_pointer& answer)
-    -> void {
-  const auto leader = raft_.GetLeaderLinkAddress();
-  if (leader == host_port() || leader == raft_.get_own_link_address()) {
-    Respond(answer, kUnavailable, {});
-    return;
-  }
-  auto batch = schema::announce_batch();
-  *batch.add_backends() = row;
-  const auto status = std::make_shared<int>(0);
-  auto hooks = call_hooks();
-  hooks.on_head = [status](const http_head& head) { *status = head.status; };
-  hooks.on_complete = [this, status, answer] {
-    if (*status == kOk) {
-      RespondToAnnouncement(answer);
-    } else {
-      Respond(answer, kUnavailable, {});
-    }
-  };
-  hooks.on_failed = [this, answer](call_failure) {
-    Respond(answer, kUnavailable, {});
-  };
-  auto options = MakeLinkOptions();
-  options.max_idle_time = kLinkIdleTimeout;
-  options.connect_timeout = kForwardTimeout;
-  const auto call = std::shared_ptr<pooled_call>(pool_.Start(
-      leader, RenderPost(kAnnouncePath, leader, batch.SerializeAsString()),
-      false, options, std::move(hooks)));
-  loop_.AddTimerIn(kForwardTimeout, [this, call, answer] {
-    if (!answer->is_final()) {
-      call->Cancel();
-      Respond(answer, kUnavailable, {});
-    }
-  });
-}
-
-auto coordinator_daemon::OnAnnounceBatch(const std::string& body,
-                                         const response_pointer& answer)
-    -> void {
-  auto batch = schema::announce_batch();
-  if (!raft_.is_leader()) {
-    Respond(answer, kUnavailable, {});
-    return;
-  }
-  if (!ReadRows(kAnnouncePath, body, batch) || batch.backends().empty()) {
-    Respond(answer, kBadRequest, {});
-    return;
-  }
-  const auto remaining = std::make_shared<int>(batch.backends_size());
-  const auto is_all_propagated = std::make_shared<bool>(true);
-  for (const auto& row : batch.backends()) {
-    const auto record = ToDomain(row, loop_.get_now());
-    if (record.has_left) {
-      registry_.Leave(record.status.id, record.status.start_time_ms,
-                      loop_.get_now());
-    } else {
-      RecordAnnouncement(record.status);
-    }
-    AwaitPropagation(record.status.id, [this, answer, remaining,
-                                        is_all_propagated](bool is_propagated) {
-      *is_all_propagated = *is_all_propagated && is_propagated;
-      if (--*remaining == 0) {
-        Respond(answer, *is_all_propagated ? kOk : kUnavailable, {});
-      }
-    });
-  }
-}
-
 auto coordinator_daemon::OnLinkCall(const incoming_request& call,
                                     const response_pointer& answer) -> void {
   const auto& path = call.head.target;
@@ -135,9 +61,9 @@
   } else if (path == kJoinPath) {
     Respond(answer, kOk, raft_.OnJoinCall(call.body));
   } else if (path == kSyncPath) {
-    OnSync(call.body, answer);
+    OnSync(call, answer);
   } else if (path == kAnnouncePath) {
-    OnAnnounceBatch(call.body, answer);
+    OnAnnounceBatch(call, answer);
   } else {
     Respond(answer, kNotFound, {});
   }
@@ -179,12 +105,13 @@
 }
 
 auto coordinator_daemon::RecordPermitRequests(
-    const schema::sync_request& request) -> void {
+    const schema::sync_request& request,
+    mono_time said_at) -> void {
   if (request.roster_source() != registry_epoch_) {
     return;  // its numbers identify servers of another registry
   }
   const auto now = loop_.get_now();
-  const auto reports = GetPermitReports(request, backend_index_, now);
+  const auto reports = GetPermitReports(request, backend_index_, said_at);
   for (const auto& report : reports) {
     const auto is_change =
         report.news &&
@@ -364,6 +291,7 @@
 
 // Answers a gateway that syncs with the leader.
 auto coordinator_daemon::FillGatewayAnswer(const schema::sync_request& request,
+                                           mono_time said_at,
                                            schema::sync_answer& reply) -> void {
   const auto now = loop_.get_now();
   gateways_.Update(
@@ -377,7 +305,7 @@
     return;
   }
   RecordLoads(request);
-  RecordPermitRequests(request);
+  RecordPermitRequests(request, said_at);
   AddLoads(*reply.mutable_loads(), load_totals_.GetReport());
   FillRegistry(request, reply);
   AddSoftwareVersions(reply, request, GetCurrentSoftware(), software_times_,
@@ -434,15 +362,16 @@
 
 // Answers a follower, whose sync also reports the gateways that it serves.
 auto coordinator_daemon::FillFollowerAnswer(const schema::sync_request& request,
+                                            mono_time said_at,
                                             schema::sync_answer& reply)
     -> void {
   followers_[vm_name(request.vm())] = {
       host_port(request.relay_link()), data_centre_name(request.data_centre()),
       loop_.get_now(), request.keeps_streams()};
   FillStreamCopies(request, reply);
-  RecordRelayedGateways(request);
+  RecordRelayedGateways(request, said_at);
   RecordLoads(request);
-  RecordPermitRequests(request);
+  RecordPermitRequests(request, said_at);
   FillRegistry(request, reply);
   AddSoftwareVersions(reply, request, GetCurrentSoftware(), software_times_,
                       loop_.get_now());
@@ -460,12 +389,12 @@
 }
 
 auto coordinator_daemon::RecordRelayedGateways(
-    const schema::sync_request& request) -> void {
+    const schema::sync_request& request,
+    mono_time said_at) -> void {
   const auto is_current_epoch = request.roster_source() == registry_epoch_;
   for (const auto& row : request.relayed()) {
     const auto vm = vm_name(row.vm());
-    const auto heard =
-        loop_.get_now() - std::chrono::milliseconds(row.silent_ms());
+    const auto heard = said_at - std::chrono::milliseconds(row.silent_ms());
     gateways_.Update({vm, host_port(row.caller_address()),
                       data_centre_name(row.data_centre()),
                       incarnation(row.incarnation()), row.ready(), heard,
@@ -505,17 +434,19 @@
 
 // Answers a gateway that syncs with this coordinator as a relay.
 auto coordinator_daemon::FillRelayedAnswer(const schema::sync_request& request,
+                                           mono_time said_at,
                                            schema::sync_answer& reply) -> void {
   const auto now = loop_.get_now();
-  relay_.HandleGatewaySync(request, now);
+  relay_.HandleGatewaySync(request, now, said_at);
   relay_.FillGatewayAnswer(request, reply, now);
   relay_.FillConfig(request, config_, reply, now);
 }
 
-auto coordinator_daemon::OnSync(const std::string& body,
+auto coordinator_daemon::OnSync(const incoming_request& call,
                                 const response_pointer& answer) -> void {
   auto request = schema::sync_request();
-  if (!ReadRows(kSyncPath, body, request)) {
+  if (!CheckRows(kSyncPath, call.body.size(),
+                 ReadMessage(call.body, request))) {
     Respond(answer, kBadRequest, {});
     return;
   }
@@ -541,11 +472,11 @@
     FillPeers(request, reply);
   }
   if (is_leader && is_gateway) {
-    FillGatewayAnswer(request, reply);
+    FillGatewayAnswer(request, call.arrived_after, reply);
   } else if (is_leader) {
-    FillFollowerAnswer(request, reply);
+    FillFollowerAnswer(request, call.arrived_after, reply);
   } else if (is_gateway && relay_.CanServeGateways(now)) {
-    FillRelayedAnswer(request, reply);
+    FillRelayedAnswer(request, call.arrived_after, reply);
   }
   Respond(answer, kOk, reply.SerializeAsString());
   if (is_leader) {
@@ -614,7 +545,8 @@
 
 auto coordinator_daemon::OnLeaderSyncAnswer(const std::string& body) -> void {
   auto reply = schema::sync_answer();
-  if (!ReadRows(kSyncPath, body, reply) || !reply.is_leader()) {
+  if (!CheckRows(kSyncPath, body.size(), ReadMessage(body, reply)) ||
+      !reply.is_leader()) {
     return;
   }
   const auto now = loop_.get_now();
--- a/main/sync_relay.cc
+++ b/main/sync_relay.cc
@@ -68,7 +68,8 @@
 }
 
 auto sync_relay::HandleGatewaySync(const schema::sync_request& request,
-                                   mono_time now) -> void {
+                                   mono_time now,
+                                   mono_time said_at) -> void {
   auto& gateway = gateways_[vm_name(request.vm())];
   gateway.last_sync = now;
   auto& row = gateway.row;
@@ -86,7 +87,7 @@
   first_events_.Add(ToDomain(request.first_events()));
   if (request.roster_source() == GetSource()) {
     for (const auto& report :
-         GetPermitReports(request, registry_.get_index(), now)) {
+         GetPermitReports(request, registry_.get_index(), said_at)) {
       permits_.Request(vm_name(request.vm()), report, now);
     }
   }
--- a/main/sync_relay.h
+++ b/main/sync_relay.h
@@ -112,9 +112,11 @@
   // regular interval, because a model or adapter is missing.
   auto HasUnservedDemand() const -> bool { return has_unserved_demand_; }
 
-  // Records the state, loads and demands that a gateway reports.
-  auto HandleGatewaySync(const schema::sync_request& request, mono_time now)
-      -> void;
+  // Records the state, loads and demands that a gateway reports, and said at
+  // `said_at` or later.
+  auto HandleGatewaySync(const schema::sync_request& request,
+                         mono_time now,
+                         mono_time said_at) -> void;
   // Fills in the configuration, the newer one of the leader's and `own`, and
   // whether it is confirmed.
   auto FillConfig(const schema::sync_request& request,
--- a/tests/coordinator_harness.cc
+++ b/tests/coordinator_harness.cc
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <random>
+#include <thread>
 #include <utility>
 
 #include "codec/link_codec.h"
@@ -130,6 +131,12 @@
 
 auto coordinator_harness::OnVoterCall(const incoming_request& call,
                                       const response_pointer& answer) -> void {
+  if (call.head.target == kAnnouncePath) {
+    auto announced = schema::announce_batch();
+    BOOST_REQUIRE(announced.ParseFromString(call.body));
+    passed_on_.insert(passed_on_.end(), announced.backends().begin(),
+                      announced.backends().end());
+  }
   if (call.head.target != kRaftPath) {
     Respond(answer, {});
     return;
@@ -219,6 +226,26 @@
   return response->status;
 }
 
+auto coordinator_harness::PassOn(const schema::backend_status_row& row)
+    -> coordinator_response {
+  auto batch = schema::announce_batch();
+  *batch.add_backends() = row;
+  const auto response = Call(GetLink(1), RenderPost(kAnnouncePath, GetLink(1),
+                                                    batch.SerializeAsString()));
+  RunUntil([&] { return response->is_complete; });
+  return *response;
+}
+
+auto coordinator_harness::StandStill(duration time,
+                                     const std::function<void()>& meanwhile)
+    -> void {
+  loop_.AddTimerIn(duration(0), [&] {
+    meanwhile();
+    std::this_thread::sleep_for(time);
+  });
+  RunFor(time + milliseconds(50));
+}
+
 auto coordinator_harness::Sync(const schema::sync_request& request)
     -> schema::sync_answer {
   const auto response =
--- a/tests/coordinator_harness.h
+++ b/tests/coordinator_harness.h
@@ -52,6 +52,7 @@
   std::unique_ptr<coordinator_daemon> coordinator_;
   bool is_accepting_ = true;
   schema::raft_message last_append_;  // that a voter got
+  std::vector<schema::backend_status_row> passed_on_;
 
   auto MakeVoter(int number) -> std::unique_ptr<http_listener>;
   auto OnVoterCall(const incoming_request& call, const response_pointer& answer)
@@ -84,6 +85,19 @@
                 const std::string& software) -> int;
   // A server says that it has left. Returns the status of the answer.
   auto Leave(const std::string& id) -> int;
+  // Another coordinator passes on what a server says.
+  auto PassOn(const schema::backend_status_row& row) -> coordinator_response;
+  // What this coordinator has passed on to the voter that leads.
+  auto get_passed_on() const -> const std::vector<schema::backend_status_row>& {
+    return passed_on_;
+  }
+  auto get_operator_address() const -> const host_port& {
+    return settings_.operator_address;
+  }
+  // Lets the process do nothing for `time`, as if it were frozen, while others
+  // do `meanwhile`.
+  auto StandStill(duration time, const std::function<void()>& meanwhile)
+      -> void;
   // Sends a whole request to the address of servers and operators, or to that
   // of the directory.
   auto CallOperatorAddress(const std::string& bytes)
