Fields of a hand-over from callers and servers mean nothing

Cause: no boundary took the field off; the gateway added its own behind it, and the peer read the first one. Ruled out: the organisation in the gateway's session, which was that of the key.

Change: one list of such fields (main/peer_fields), removed from what callers, servers and peers send; a peer takes terms only if they are there exactly once. The two places that removed the result's field by themselves use it.

--- a/main/gateway_daemon.cc
+++ b/main/gateway_daemon.cc
@@ -9,6 +9,7 @@
 #include "codec/site_codec.h"
 #include "core/error_kind.h"
 #include "core/text.h"
+#include "main/peer_fields.h"
 #include "platform/config_codec.h"
 #include "platform/control_codec.h"
 #include "platform/request_codec.h"
@@ -243,6 +244,7 @@
 
 auto gateway_daemon::OnCall(incoming_request call,
                             const response_pointer& answer) -> void {
+  RemovePeerFields(call.head);
   if (!TakesRequests()) {
     RejectCall(platform::DecodeCallerRequest(call.head), error_kind::draining,
                kUnavailable, answer);
--- a/main/gateway_daemon_peers.cc
+++ b/main/gateway_daemon_peers.cc
@@ -5,6 +5,7 @@
 
 #include "codec/handover_codec.h"
 #include "main/gateway_daemon.h"
+#include "main/peer_fields.h"
 #include "platform/order_codec.h"
 #include "platform/request_codec.h"
 
@@ -80,15 +81,13 @@
 auto gateway_daemon::OnPeerCall(incoming_request call,
                                 const response_pointer& answer) -> void {
   auto metadata = platform::DecodeCallerRequest(call.head);
-  const auto* field = call.head.Find(kHandoverField);
+  const auto* field = FindHandoverTerms(call.head);
   const auto terms = field == nullptr ? std::nullopt : DecodeTerms(*field);
   if (!terms) {
     DeclineHandover(metadata, error_kind::invalid_request, answer);
     return;
   }
-  std::erase_if(call.head.fields, [](const http_field& item) {
-    return IsSameFieldName(item.name, kHandoverField);
-  });
+  RemovePeerFields(call.head);
   const auto is_current =
       HasUsableConfig() && route_table_->get_config().number >= terms->config;
   if (!is_current) {
--- a/main/proxy_session_answer.cc
+++ b/main/proxy_session_answer.cc
@@ -6,6 +6,7 @@
 
 #include "codec/handover_codec.h"
 #include "drivers/answer_status.h"
+#include "main/peer_fields.h"
 #include "main/proxy_session.h"
 #include "platform/request_codec.h"
 
@@ -45,9 +46,7 @@
   const auto decoded = platform::DecodeServerAnswer(head);
   RecordLeaving(decoded);
   response_head_ = head;
-  std::erase_if(response_head_.fields, [](const http_field& field) {
-    return IsSameFieldName(field.name, kHandoverResultField);
-  });
+  RemovePeerFields(response_head_);
   server_answer_ = decoded;
   if (IsDirect()) {
     evidence_.has_just_begun = IsSuccess(decoded.status);
--- a/main/proxy_session_handover.cc
+++ b/main/proxy_session_handover.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "codec/handover_codec.h"
+#include "main/peer_fields.h"
 #include "main/proxy_session.h"
 #include "platform/request_codec.h"
 
@@ -97,9 +98,7 @@
 auto proxy_session::AddResult(http_head head,
                               const handover_result& result) const
     -> http_head {
-  std::erase_if(head.fields, [](const http_field& field) {
-    return IsSameFieldName(field.name, kHandoverResultField);
-  });
+  RemovePeerFields(head);
   if (IsHandedOver()) {
     head.fields.push_back({kHandoverResultField, EncodeResult(result)});
   }
--- a/tests/organisation_wiring_test.cc
+++ b/tests/organisation_wiring_test.cc
@@ -322,6 +322,73 @@
   BOOST_TEST(found == 1);
 }
 
+// Checks that one request has reached a server, on behalf of `organisation` and
+// without a field of gateways.
+auto CheckPlainRequest(const gateway_harness& site,
+                       const std::string& organisation) -> void {
+  auto found = 0;
+  for (const auto& server : site.servers) {
+    for (const auto& request : server->get_received()) {
+      ++found;
+      BOOST_TEST(GetField(*request, "Ebonythread-Tenant") == organisation);
+      BOOST_TEST(request->head.Find("Ebony-Handover") == nullptr);
+      BOOST_TEST(request->head.Find("Ebony-Handover-Result") == nullptr);
+    }
+  }
+  BOOST_TEST(found == 1);
+}
+
+// Guards against a caller who names another organisation by the field of a
+// handover, in any spelling (review/15).
+BOOST_AUTO_TEST_CASE(a_caller_cannot_state_the_terms_of_a_handover) {
+  auto terms = handover_terms();
+  terms.config = config_number(2);
+  terms.service = service_name("s");
+  terms.organisation = organisation_name("o2");
+  const auto value = EncodeTerms(terms);
+  for (const auto& fields :
+       {"Ebony-Handover: " + value + "\r\n",
+        "eBONY-hANDOVER: " + value + "\r\nEbony-Handover: " + value + "\r\n",
+        "Ebony-Handover: " + value + "\r\nConnection: Ebony-Handover\r\n",
+        "Ebony-Handover-Result: " + value + "\r\n"}) {
+    for (const auto is_cut : {false, true}) {
+      const auto site = std::make_unique<gateway_harness>(4);
+      site->SetConfig(MakeConfig(2, kOrganisations), 2);
+      site->AddWiresAndGateways(2);
+      if (is_cut) {
+        site->Cut(cut_manner::reset);
+        site->RunFor(milliseconds(1000));
+      }
+      const auto answer =
+          SendAndWait(*site, MakeRequest("plain", "a", kKey + fields));
+      BOOST_TEST(answer->status == 200);
+      BOOST_TEST((site->get_counters().get_counter("ebony_handovers_total") >
+                  0U) == is_cut);
+      CheckPlainRequest(*site, "o1");
+    }
+  }
+}
+
+// An earlier build passes a caller's field on beside its own.
+BOOST_AUTO_TEST_CASE(a_peer_declines_terms_that_are_stated_twice) {
+  const auto site = std::make_unique<gateway_harness>(2);
+  site->SetConfig(MakeConfig(2, kOrganisations), 2);
+  site->AddWiresAndGateways(1);
+  auto terms = handover_terms();
+  terms.config = config_number(2);
+  terms.service = service_name("s");
+  const auto state = [&terms](const std::string& organisation) {
+    terms.organisation = organisation_name(organisation);
+    return "Ebony-Handover: " + EncodeTerms(terms) + "\r\n";
+  };
+  const auto answer =
+      site->SendTo(site->get_other_settings(0).peer_address,
+                   MakeRequest("plain", "a", state("o2") + state("o1")));
+  site->RunUntil([&] { return answer->is_complete; });
+  BOOST_TEST(answer->status == 503);
+  BOOST_TEST(CountReceived(*site) == 0U);
+}
+
 // Guards against a peer that serves a request whose organisation the other
 // gateway did not state or does not know as this one does.
 BOOST_AUTO_TEST_CASE(a_peer_declines_an_organisation_that_it_cannot_know) {
