Contains stands once; departed servers without a start time return as soon

Cause: four files of consensus/ had a Contains each. Change: one Contains in quorum.h; a start time of 0 is taken back after 30 s as the others are, by one rule for announcements and for records of other registries (IsLaterWord). Measured: a_departed_server_without_a_start_time_returns fails without the rule (has_left at 31.5 s); backend_registry_rules, late_calls, durable_facts_rules and quorum_rules pass.

--- a/consensus/membership_planner.cc
+++ b/consensus/membership_planner.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "consensus/quorum.h"
+
 namespace ebony {
 
 namespace {
@@ -9,10 +11,6 @@
 // The smallest group that bears a loss.
 constexpr std::size_t kMinShrunkenVoters = 3;
 
-auto Contains(const std::vector<node_id>& ids, const node_id& id) -> bool {
-  return std::find(ids.begin(), ids.end(), id) != ids.end();
-}
-
 // Returns true if `ids` contains another identity of the node's VM.
 auto HasOtherIdentity(const std::vector<node_id>& ids, const node_id& node)
     -> bool {
--- a/consensus/quorum.cc
+++ b/consensus/quorum.cc
@@ -6,10 +6,6 @@
 
 namespace {
 
-auto Contains(const std::vector<node_id>& ids, const node_id& id) -> bool {
-  return std::find(ids.begin(), ids.end(), id) != ids.end();
-}
-
 auto Without(std::vector<node_id> ids, const node_id& id)
     -> std::vector<node_id> {
   std::erase(ids, id);
@@ -27,6 +23,10 @@
 
 }  // namespace
 
+auto Contains(const std::vector<node_id>& ids, const node_id& id) -> bool {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
 auto GetVoterSets(const membership& group)
     -> std::vector<std::vector<node_id>> {
   if (!group.swap) {
--- a/consensus/quorum.h
+++ b/consensus/quorum.h
@@ -9,6 +9,8 @@
 
 namespace ebony {
 
+auto Contains(const std::vector<node_id>& ids, const node_id& id) -> bool;
+
 // Returns the sets of voters of which each has to agree by a majority: one, or
 // during a swap the voters before and after it.
 auto GetVoterSets(const membership& group) -> std::vector<std::vector<node_id>>;
--- a/consensus/raft.cc
+++ b/consensus/raft.cc
@@ -12,10 +12,6 @@
 // Rounds whose start is remembered; older replies do not vouch.
 constexpr std::size_t kMaxRecordedRounds = 64;
 
-auto Contains(const std::vector<node_id>& ids, const node_id& id) -> bool {
-  return std::find(ids.begin(), ids.end(), id) != ids.end();
-}
-
 }  // namespace
 
 raft::raft(raft_options options,
--- a/consensus/voter_replacement.cc
+++ b/consensus/voter_replacement.cc
@@ -2,14 +2,12 @@
 
 #include <algorithm>
 
+#include "consensus/quorum.h"
+
 namespace ebony {
 
 namespace {
 
-auto Contains(const std::vector<node_id>& ids, const node_id& id) -> bool {
-  return std::find(ids.begin(), ids.end(), id) != ids.end();
-}
-
 // Returns whether all members that take part in decisions know `voter_swap`, or
 // std::nullopt while that is not known: a member that has just been silent may
 // reply yet.
--- a/core/backend_registry.cc
+++ b/core/backend_registry.cc
@@ -17,6 +17,14 @@
   return left == right;
 }
 
+// Returns true if a start that had left may have said `status` afterwards. The
+// sequence numbers of starts that name no time cannot be compared.
+auto IsLaterWord(const backend_status& status, const backend_status& known)
+    -> bool {
+  return status.start_time_ms != known.start_time_ms ||
+         status.start_time_ms == 0 || status.sequence > known.sequence;
+}
+
 }  // namespace
 
 backend_registry::backend_registry(backend_registry_options options)
@@ -67,9 +75,8 @@
 auto backend_registry::IsReturning(const backend_record& current,
                                    const backend_status& status,
                                    mono_time now) const -> bool {
-  const auto is_next = status.start_time_ms != current.status.start_time_ms ||
-                       status.sequence > current.status.sequence;
-  return current.has_left && !status.is_leaving && is_next &&
+  return current.has_left && !status.is_leaving &&
+         IsLaterWord(status, current.status) &&
          now - current.last_seen > options_.trust_departure_for;
 }
 
@@ -196,11 +203,9 @@
     return MergeDeparture(record);
   }
   const auto found = records_.find(record.status.id);
-  const auto is_returning =
-      found != records_.end() && record.has_returned &&
-      found->second.has_left &&
-      (record.status.start_time_ms != found->second.status.start_time_ms ||
-       record.status.sequence > found->second.status.sequence);
+  const auto is_returning = found != records_.end() && record.has_returned &&
+                            found->second.has_left &&
+                            IsLaterWord(record.status, found->second.status);
   const auto is_newer = found == records_.end() || is_returning ||
                         IsNewer(found->second, record.status, now);
   const auto is_same_start =
--- a/tests/backend_registry_test.cc
+++ b/tests/backend_registry_test.cc
@@ -283,6 +283,17 @@
   }
 }
 
+// Servers that name no start time are used again as soon as the others.
+BOOST_AUTO_TEST_CASE(a_departed_server_without_a_start_time_returns) {
+  auto registry = MakeRegistry();
+  registry.Announce(MakeStatus(0, 50), At(0));
+  Leave(registry, 0, At(1000));
+  BOOST_TEST((registry.Announce(MakeStatus(0, 1), At(20000)) ==
+              announce_result::has_left));
+  BOOST_TEST((registry.Announce(MakeStatus(0, 10), At(31500)) ==
+              announce_result::changed));
+}
+
 // Guards against a server that counts as alive by an announcement that lay
 // somewhere while the server has died.
 BOOST_AUTO_TEST_CASE(an_announcement_that_was_said_long_ago_revives_nothing) {
